--- /dev/null
+++ b/src/cluster/leadership.cpp
@@ -0,0 +1,157 @@
+#include "cluster/leadership.hpp"
+
+namespace reachhoist::cluster {
+
+namespace {
+constexpr const char* kPrefix = "leader";
+constexpr const char* kLeaderKey = "leader";
+constexpr const char* kTermKey = "leader-term";
+}  // namespace
+
+Leadership::Leadership(state::Client& client, const config::Settings& settings, std::uint64_t seed,
+                       Handlers handlers)
+    : client_(client),
+      settings_(settings),
+      handlers_(std::move(handlers)),
+      feed_(client, kPrefix, state::Urgency::lease, constants::kConfirmEvery,
+            {[this](const auto& key, const Json* value, std::uint64_t stamp) { onEntry(key, value, stamp); },
+             [this] {
+               leader_.clear();
+               leaderStamp_ = 0;
+             },
+             [this] { onCaughtUp(); }}),
+      random_(seed),
+      parts_(std::min(settings.initialSize, settings.stateTxnOps - 2)) {}
+
+void Leadership::start(Time now) {
+  now_ = now;
+  feed_.start(now);
+}
+
+void Leadership::tick(Time now) {
+  now_ = now;
+  feed_.tick(now);
+  if (state_ == State::waiting && now >= nextTry_) {
+    if (permit_ != 0) {
+      campaign();
+    } else {
+      lease();
+    }
+  }
+  if (state_ == State::leading && !renewing_ && now >= nextRenew_) renew();
+}
+
+void Leadership::onEntry(const std::string& key, const Json* value, std::uint64_t stamp) {
+  if (key == kLeaderKey) {
+    leader_ = value != nullptr ? wire::textField(*value, "label").value_or("") : "";
+    leaderStamp_ = value != nullptr ? stamp : 0;
+  } else if (key == kTermKey && value != nullptr) {
+    termStamp_ = stamp;
+    const auto term = wire::countField(*value, "term").value_or(0);
+    if (state_ != State::leading) term_ = std::max(term_, term);
+    if (const auto parts = wire::countField(*value, "parts"); parts && *parts > 0)
+      parts_ = static_cast<unsigned>(*parts);
+  }
+}
+
+void Leadership::onCaughtUp() {
+  if (state_ == State::leading) {
+    // The feed may be older than our own election, so only what is newer counts.
+    if (leaderStamp_ > ownStamp_ && leader_ != settings_.label) depose("another controller leads");
+    return;
+  }
+  if (state_ == State::observing && (leader_.empty() || leader_ == settings_.label)) {
+    // Our own name there is an earlier life's, which has ended: no need to wait for its lease.
+    pause();
+  } else if (state_ == State::waiting && !leader_.empty() && leader_ != settings_.label) {
+    to(State::observing);
+  }
+}
+
+void Leadership::pause() {
+  std::uniform_int_distribution<long> spread(0, constants::kElectionSpread.count());
+  const bool urgent = nextTry_ == Time{} || now_ >= nextTry_;
+  nextTry_ = now_ + std::chrono::milliseconds(spread(random_)) +
+             (urgent ? std::chrono::milliseconds(0) : constants::kElectionRetry);
+  to(State::waiting);
+}
+
+void Leadership::lease() {
+  to(State::leasing);
+  client_.newLease(now_, constants::kLeaderTtl, [this](const wire::CallResult& result) {
+    if (state_ != State::leasing) return;
+    const auto permit = wire::countField(result.body, "permit");
+    if (!result.ok() || !permit) {
+      nextTry_ = now_ + constants::kElectionRetry;
+      to(State::waiting);
+      return;
+    }
+    permit_ = *permit;
+    if (!leader_.empty() && leader_ != settings_.label) {
+      to(State::observing);
+    } else {
+      campaign();
+    }
+  });
+}
+
+void Leadership::campaign() {
+  to(State::campaigning);
+  const std::uint64_t term = term_ + 1;
+  const Time sent = now_;
+  state::Transaction transaction;
+  transaction.conditions = {{kLeaderKey, leaderStamp_}, {kTermKey, termStamp_}};
+  transaction.writes.push_back({kLeaderKey, Json{{"label", settings_.label}, {"term", term}}, permit_});
+  transaction.writes.push_back({kTermKey, Json{{"term", term}, {"parts", parts_}}, std::nullopt});
+  for (Part part = 0; part < parts_; ++part)
+    transaction.writes.push_back(
+        {partKey(part), Json{{"owner", settings_.label}, {"term", term}}, std::nullopt});
+  client_.multi(now_, state::Urgency::lease, transaction, [this, term, sent](const wire::CallResult& result) {
+    if (state_ != State::campaigning) return;
+    if (!result.ok()) {
+      // The lease may have run out during the wait. Without an answer the feed tells who leads.
+      if (result.status == 400) permit_ = 0;
+      nextTry_ = now_ + constants::kElectionRetry;
+      to(State::waiting);
+      return;
+    }
+    ownStamp_ = wire::countField(result.body, "ledger").value_or(0);
+    term_ = term;
+    leader_ = settings_.label;
+    leaderStamp_ = ownStamp_;
+    termStamp_ = ownStamp_;
+    confirmedAt_ = sent;
+    nextRenew_ = now_ + constants::kLeaderRenew;
+    to(State::leading);
+    client_.setLeading(true);
+    handlers_.elected(term, ownStamp_);
+  });
+}
+
+void Leadership::renew() {
+  renewing_ = true;
+  const Time sent = now_;
+  client_.touchLease(now_, permit_, [this, sent, permit = permit_](const wire::CallResult& result) {
+    renewing_ = false;
+    if (state_ != State::leading || permit != permit_) return;
+    nextRenew_ = (result.ok() ? sent + constants::kLeaderRenew : now_ + constants::kStateBackoff);
+    if (result.ok()) confirmedAt_ = std::max(confirmedAt_, sent);
+    if (result.status == 404) depose("the lease ran out");
+  });
+}
+
+void Leadership::depose(const char* why) {
+  permit_ = 0;
+  resign(why);
+}
+
+void Leadership::resign(const char* why) {
+  if (state_ != State::leading) return;
+  to(State::observing);
+  client_.setLeading(false);
+  handlers_.deposed(why);
+  nextTry_ = now_ + constants::kElectionRetry;
+  to(State::waiting);
+}
+
+}  // namespace reachhoist::cluster
--- /dev/null
+++ b/src/cluster/leadership.hpp
@@ -0,0 +1,70 @@
+// Who leads: a key attached to a lease, and a term that never goes back in a key without one.
+#pragma once
+
+#include <functional>
+#include <random>
+
+#include "cluster/parts.hpp"
+#include "state/feed.hpp"
+
+namespace reachhoist::cluster {
+
+using wire::Json;
+using wire::Time;
+
+class Leadership {
+ public:
+  // observing: somebody else leads, or nobody is known to. waiting: vacant, after a random pause.
+  // leasing, campaigning: trying to take it. leading: ours until the lease is lost.
+  enum class State { observing, waiting, leasing, campaigning, leading };
+  struct Handlers {
+    std::function<void(std::uint64_t term, std::uint64_t partsStamp)> elected;
+    std::function<void(const char* why)> deposed;
+  };
+
+  Leadership(state::Client& client, const config::Settings& settings, std::uint64_t seed, Handlers handlers);
+
+  void start(Time now);
+  void tick(Time now);
+  // Gives up what this life holds in memory; the key is taken anew under a higher term.
+  void resign(const char* why);
+
+  bool leading() const { return state_ == State::leading; }
+  std::uint64_t term() const { return term_; }
+  unsigned parts() const { return parts_; }
+  // The leader by the last word of the state service; empty when vacant.
+  const std::string& leader() const { return leader_; }
+  // Ownership is proven up to this time.
+  Time confirmedAt() const { return confirmedAt_; }
+
+ private:
+  void to(State next) { state_ = next; }
+  void onEntry(const std::string& key, const Json* value, std::uint64_t stamp);
+  void onCaughtUp();
+  void lease();
+  void campaign();
+  void renew();
+  void depose(const char* why);
+  void pause();
+
+  state::Client& client_;
+  const config::Settings& settings_;
+  Handlers handlers_;
+  state::Feed feed_;
+  std::mt19937_64 random_;
+  State state_ = State::observing;
+  Time now_{};
+  Time nextTry_{};
+  Time nextRenew_{};
+  Time confirmedAt_{};
+  bool renewing_ = false;
+  std::string leader_;
+  std::uint64_t leaderStamp_ = 0;
+  std::uint64_t termStamp_ = 0;
+  std::uint64_t term_ = 0;      // the last one known of
+  std::uint64_t ownStamp_ = 0;  // of the leader key as this life wrote it
+  unsigned parts_ = 1;
+  std::uint64_t permit_ = 0;
+};
+
+}  // namespace reachhoist::cluster
--- /dev/null
+++ b/src/config/settings.cpp
@@ -0,0 +1,306 @@
+#include "config/settings.hpp"
+
+#include <confuse.h>
+
+#include <array>
+#include <cmath>
+#include <cstdarg>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <memory>
+#include <sstream>
+
+#include "wire/codec.hpp"
+
+namespace reachhoist::config {
+
+namespace {
+
+using wire::Json;
+
+std::optional<std::string> readFile(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) return std::nullopt;
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+// "a.b.1.2.3.4:80"-like checks beyond shape are the network layer's; here only host:port is asked for.
+bool looksLikeEndpoint(const std::string& text) {
+  const auto colon = text.rfind(':');
+  return colon != std::string::npos && colon > 0 && colon + 1 < text.size() &&
+         text.find_first_not_of("0123456789", colon + 1) == std::string::npos;
+}
+
+// Reads fields of one map and remembers the first problem.
+class Reader {
+ public:
+  Reader(const Json& map, std::string prefix, std::optional<Problem>& problem)
+      : map_(map), prefix_(std::move(prefix)), problem_(problem) {}
+
+  void text(const char* key, std::string& out) {
+    const auto value = wire::textField(map_, key);
+    if (!value || value->empty()) return complain(key, "must be text");
+    out = *value;
+  }
+  void endpoint(const char* key, std::string& out) {
+    text(key, out);
+    if (!problem_ && !looksLikeEndpoint(out)) complain(key, "must be an address like 10.0.0.1:8080");
+  }
+  void amount(const char* key, double& out, double least) {
+    const auto value = wire::amountField(map_, key);
+    if (!value || *value < least) {
+      std::ostringstream reason;
+      reason << "must be a number of at least " << least;
+      return complain(key, reason.str());
+    }
+    out = *value;
+  }
+  // Absent: keeps the default.
+  void maybeAmount(const char* key, double& out) {
+    if (const Json* found = wire::field(map_, key); found != nullptr && !found->is_null()) amount(key, out, 0);
+  }
+  void count(const char* key, unsigned& out, unsigned least) {
+    const auto value = wire::countField(map_, key);
+    if (!value || *value < least || *value > 1'000'000) return complain(key, "must be a whole number");
+    out = static_cast<unsigned>(*value);
+  }
+  const Json& list(const char* key) {
+    static const Json kEmpty = Json::array();
+    const Json* found = wire::field(map_, key);
+    if (found == nullptr || !found->is_array()) {
+      complain(key, "must be a list");
+      return kEmpty;
+    }
+    return *found;
+  }
+  Reader map(const char* key) {
+    static const Json kEmpty = Json::object();
+    const Json* found = wire::field(map_, key);
+    if (found == nullptr || !found->is_object()) {
+      complain(key, "must be a map");
+      found = &kEmpty;
+    }
+    return Reader(*found, prefix_ + key + ".", problem_);
+  }
+  Reader entry(const char* key, const Json& value, std::size_t index) {
+    return Reader(value, prefix_ + key + "[" + std::to_string(index) + "].", problem_);
+  }
+  void complain(const std::string& key, const std::string& reason) {
+    if (!problem_) problem_ = Problem{prefix_ + key, reason};
+  }
+
+ private:
+  const Json& map_;
+  std::string prefix_;
+  std::optional<Problem>& problem_;
+};
+
+}  // namespace
+
+const Team* Settings::team(const std::string& name) const {
+  for (const Team& team : teams)
+    if (team.name == name) return &team;
+  return nullptr;
+}
+
+const Sibling* Settings::sibling(const std::string& name) const {
+  for (const Sibling& sibling : siblings)
+    if (sibling.label == name) return &sibling;
+  return nullptr;
+}
+
+std::chrono::milliseconds Settings::answerWindow() const {
+  // A lease renewed at the very end of the window must have run out, on the slowest clock, within cancel_s.
+  const double windowS = cancelS * (1 - constants::kClockDrift) - leaseS * (1 + constants::kClockDrift);
+  return std::chrono::milliseconds(static_cast<long>(windowS * 1000)) - constants::kLeaseMargin;
+}
+
+std::chrono::milliseconds Settings::leaseOver() const {
+  return std::chrono::milliseconds(static_cast<long>(std::ceil(leaseS * (1 + 2 * constants::kClockDrift) * 1000))) +
+         constants::kLeaseMargin;
+}
+
+std::optional<Problem> parsePlatform(const std::string& text, Settings& out) {
+  const Json root = Json::parse(text, nullptr, false);
+  if (!root.is_object()) return Problem{"(file)", "is not a JSON map"};
+  std::optional<Problem> problem;
+  Reader top(root, "", problem);
+  top.text("label", out.label);
+  top.text("area", out.area);
+  top.endpoint("bind", out.bind);
+  top.endpoint("peer_listen", out.peerListen);
+  out.siblings.clear();
+  std::size_t index = 0;
+  for (const Json& entry : top.list("siblings")) {
+    Reader reader = top.entry("siblings", entry, index++);
+    Sibling sibling;
+    reader.text("label", sibling.label);
+    reader.text("area", sibling.area);
+    reader.endpoint("endpoint", sibling.endpoint);
+    out.siblings.push_back(std::move(sibling));
+  }
+  Reader endpoints = top.map("endpoints");
+  endpoints.endpoint("cloud", out.cloudEndpoint);
+  endpoints.endpoint("state", out.stateEndpoint);
+  Reader facts = top.map("facts");
+  facts.count("initial_size", out.initialSize, 1);
+  out.zones.clear();
+  for (const Json& zone : facts.list("zones")) {
+    if (zone.is_string()) {
+      out.zones.push_back(zone.get<std::string>());
+    } else {
+      facts.complain("zones", "must hold text");
+    }
+  }
+  out.teams.clear();
+  index = 0;
+  for (const Json& entry : facts.list("teams")) {
+    Reader reader = facts.entry("teams", entry, index++);
+    Team team;
+    reader.text("name", team.name);
+    reader.amount("cpus", team.cpus, 0);
+    reader.amount("cpus_max", team.cpusMax, 0);
+    reader.amount("gpus", team.gpus, 0);
+    reader.amount("gpus_max", team.gpusMax, 0);
+    out.teams.push_back(std::move(team));
+  }
+  out.objectives.clear();
+  index = 0;
+  for (const Json& entry : facts.list("objectives")) {
+    Reader reader = facts.entry("objectives", entry, index++);
+    Objective objective;
+    reader.text("kind", objective.kind);
+    if (wire::field(entry, "class") != nullptr) reader.text("class", objective.lane);
+    reader.maybeAmount("within_s", objective.withinS);
+    reader.maybeAmount("share", objective.share);
+    reader.maybeAmount("times", objective.times);
+    out.objectives.push_back(std::move(objective));
+  }
+  Reader workers = facts.map("workers");
+  workers.amount("report_s", out.reportS, 0.1);
+  workers.amount("lease_s", out.leaseS, 1);
+  workers.amount("cancel_s", out.cancelS, 1);
+  Reader state = facts.map("state");
+  state.amount("rps", out.stateRps, 1);
+  state.amount("write_rps", out.stateWriteRps, 1);
+  state.amount("value_kb", out.stateValueKb, 2);
+  state.count("txn_ops", out.stateTxnOps, 4);
+  Reader cloud = facts.map("cloud");
+  cloud.amount("rps", out.cloudRps, 0.1);
+  cloud.amount("list_lag_s", out.cloudListLagS, 0);
+  Reader limits = facts.map("limits");
+  limits.amount("core_share", out.coreShare, 0.001);
+  limits.amount("ram_mb", out.ramMb, 8);
+  limits.count("max_connections", out.maxConnections, 2 * constants::kReservedSockets);
+  facts.amount("clock_off_ms", out.clockOffMs, 0);
+  // Without this no answer to a worker could be safe: see docs/safety.md, point 7.
+  if (!problem && out.answerWindow() < std::chrono::milliseconds(static_cast<long>(out.reportS * 1000)))
+    facts.complain("workers.cancel_s", "leaves no time to renew leases: it must exceed lease_s by report_s and margins");
+  return problem;
+}
+
+std::optional<Problem> loadPlatform(const std::string& path, Settings& out) {
+  const auto text = readFile(path);
+  if (!text) return Problem{path, "cannot be read"};
+  return parsePlatform(*text, out);
+}
+
+namespace {
+
+struct CfgFree {
+  void operator()(cfg_t* cfg) const { cfg_free(cfg); }
+};
+
+struct NumberKey {
+  const char* name;
+  double least;
+  double most;
+  double Operators::* real;
+  int Operators::* whole;
+};
+
+constexpr NumberKey kSizingKeys[] = {
+    {"round_s", 5, 3600, &Operators::sizingRoundS, nullptr},
+    {"scale_up_cooldown_s", 0, 3600, &Operators::scaleUpCooldownS, nullptr},
+    {"scale_down_cooldown_s", 0, 3600, &Operators::scaleDownCooldownS, nullptr},
+    {"step_divisor", 1, 1000, nullptr, &Operators::stepDivisor},
+    {"probe_chance", 0, 1, &Operators::probeChance, nullptr},
+    {"probe_decay", 0, 1, &Operators::probeDecay, nullptr},
+    {"probe_floor", 0, 1, &Operators::probeFloor, nullptr},
+    {"episodes", 1, 100, nullptr, &Operators::episodes},
+    {"spare_share", 0, 2, &Operators::spareShare, nullptr},
+    {"idle_return_s", 5, 3600, &Operators::idleReturnS, nullptr},
+};
+
+std::optional<Problem> setNumber(cfg_t* section, const NumberKey& known, Operators& out) {
+  cfg_opt_t* option = cfg_getopt(section, known.name);
+  // Without a value in the file the default stays.
+  if (option == nullptr || cfg_opt_size(option) == 0) return std::nullopt;
+  const std::string path = std::string("sizing.") + known.name;
+  // Read as text, so that 30, 30.5 and "30" are all told apart from what is no number.
+  const std::string text = cfg_opt_getnstr(option, 0);
+  char* end = nullptr;
+  const double number = std::strtod(text.c_str(), &end);
+  if (text.empty() || *end != '\0' || !(number >= known.least) || !(number <= known.most)) {
+    std::ostringstream reason;
+    reason << "must be a number from " << known.least << " to " << known.most;
+    return Problem{path, reason.str()};
+  }
+  if (known.real != nullptr) {
+    out.*known.real = number;
+  } else if (number != std::floor(number)) {
+    return Problem{path, "must be a whole number"};
+  } else {
+    out.*known.whole = static_cast<int>(number);
+  }
+  return std::nullopt;
+}
+
+// The parser's complaint, on one line, kept where its callback can reach it: the settings' own object.
+void keepComplaint(cfg_t* cfg, const char* format, va_list arguments) {
+  std::array<char, 256> line{};
+  std::vsnprintf(line.data(), line.size(), format, arguments);
+  // The top-level options hold a place for it, since the callback gets nothing else.
+  cfg_t* top = cfg;
+  if (cfg_opt_t* place = cfg_getopt(top, "__complaint"); place != nullptr && cfg_opt_size(place) == 0)
+    cfg_opt_setnstr(place, ("line " + std::to_string(cfg->line) + ": " + line.data()).c_str(), 0);
+}
+
+}  // namespace
+
+std::optional<Problem> parseOperators(const std::string& text, Settings& out) {
+  std::vector<cfg_opt_t> keys;
+  for (const NumberKey& known : kSizingKeys) keys.push_back(CFG_STR(known.name, nullptr, CFGF_NODEFAULT));
+  keys.push_back(CFG_STR("__complaint", nullptr, CFGF_NODEFAULT));
+  keys.push_back(CFG_END());
+  std::vector<cfg_opt_t> top = {CFG_SEC("sizing", keys.data(), CFGF_NONE),
+                                CFG_STR("__complaint", nullptr, CFGF_NODEFAULT), CFG_END()};
+  const std::unique_ptr<cfg_t, CfgFree> cfg(cfg_init(top.data(), CFGF_NONE));
+  cfg_set_error_function(cfg.get(), keepComplaint);
+  cfg_t* section = nullptr;
+  const int status = cfg_parse_buf(cfg.get(), text.c_str());
+  section = cfg_getsec(cfg.get(), "sizing");
+  if (status != CFG_SUCCESS) {
+    for (cfg_t* place : {cfg.get(), section}) {
+      if (place == nullptr) continue;
+      cfg_opt_t* kept = cfg_getopt(place, "__complaint");
+      if (kept != nullptr && cfg_opt_size(kept) > 0) return Problem{"operators' file", cfg_opt_getnstr(kept, 0)};
+    }
+    return Problem{"operators' file", "cannot be parsed"};
+  }
+  if (section == nullptr) return std::nullopt;
+  for (const NumberKey& known : kSizingKeys)
+    if (auto problem = setNumber(section, known, out.operators)) return problem;
+  return std::nullopt;
+}
+
+std::optional<Problem> loadOperators(const std::string& path, Settings& out) {
+  const auto text = readFile(path);
+  if (!text) return Problem{path, "cannot be read"};
+  return parseOperators(*text, out);
+}
+
+}  // namespace reachhoist::config
--- /dev/null
+++ b/src/config/settings.hpp
@@ -0,0 +1,95 @@
+// The platform's settings file (JSON) and the operators' own (HCL blocks, read by libconfuse).
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "config/constants.hpp"
+
+namespace reachhoist::config {
+
+struct Sibling {
+  std::string label;
+  std::string area;
+  std::string endpoint;
+};
+
+struct Team {
+  std::string name;
+  double cpus = 0;  // guaranteed
+  double cpusMax = 0;  // 0: no limit
+  double gpus = 0;
+  double gpusMax = 0;
+};
+
+struct Objective {
+  std::string kind;
+  std::string lane;
+  double withinS = 0;
+  double share = 0;
+  double times = 0;
+};
+
+// What operators may set themselves; every value has a default.
+struct Operators {
+  double sizingRoundS = 30;
+  double scaleUpCooldownS = 60;
+  double scaleDownCooldownS = 120;
+  int stepDivisor = 8;
+  double probeChance = 0.15;
+  double probeDecay = 0.95;
+  double probeFloor = 0.05;
+  int episodes = 15;
+  double spareShare = constants::kSpareShare;
+  double idleReturnS = 45;
+};
+
+struct Settings {
+  std::string label;
+  std::string area;
+  std::string bind;
+  std::string peerListen;
+  std::vector<Sibling> siblings;
+  std::string cloudEndpoint;
+  std::string stateEndpoint;
+  unsigned initialSize = 1;
+  std::vector<std::string> zones;
+  std::vector<Team> teams;
+  std::vector<Objective> objectives;
+  double reportS = 3;
+  double leaseS = 22;
+  double cancelS = 42;
+  double stateRps = 60;
+  double stateWriteRps = 20;
+  double stateValueKb = 8;
+  unsigned stateTxnOps = 12;
+  double cloudRps = 4;
+  double cloudListLagS = 6;
+  double coreShare = 1;
+  double ramMb = 0;
+  unsigned maxConnections = 1000;
+  double clockOffMs = 0;
+  Operators operators;
+
+  const Team* team(const std::string& name) const;
+  const Sibling* sibling(const std::string& name) const;
+
+  // How long after its last confirmed ownership a controller may still answer reports (safety point 7).
+  std::chrono::milliseconds answerWindow() const;
+  // How long after the last answer that could have reached a worker its tasks are certainly gone.
+  std::chrono::milliseconds leaseOver() const;
+};
+
+struct Problem {
+  std::string field;
+  std::string reason;
+};
+
+std::optional<Problem> loadPlatform(const std::string& path, Settings& out);
+std::optional<Problem> parsePlatform(const std::string& text, Settings& out);
+std::optional<Problem> loadOperators(const std::string& path, Settings& out);
+std::optional<Problem> parseOperators(const std::string& text, Settings& out);
+
+}  // namespace reachhoist::config
--- /dev/null
+++ b/src/fleet/pools.cpp
@@ -0,0 +1,175 @@
+#include "fleet/pools.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace reachhoist::fleet {
+
+namespace {
+
+constexpr double kPatienceS = 10;     // work without a deadline waits this long for room to come free by itself
+constexpr double kBootReserve = 1.5;  // times bootS that a machine may take until it helps
+
+double price(const wire::RigType& rig, bool loaners) { return loaners ? rig.marketPrice : rig.rate; }
+
+bool counts(const Machine& machine) {
+  return machine.phase == machines::MachinePhase::booting || machine.phase == machines::MachinePhase::up;
+}
+
+std::vector<std::pair<PoolKey, const wire::RigType*>> allPools(const std::vector<wire::RigType>& catalog) {
+  std::vector<std::pair<PoolKey, const wire::RigType*>> out;
+  for (const wire::RigType& rig : catalog) {
+    for (const std::string& yard : rig.yards) {
+      out.push_back({PoolKey{rig.label, yard, false}, &rig});
+      out.push_back({PoolKey{rig.label, yard, true}, &rig});
+    }
+  }
+  return out;
+}
+
+int tasksThatFit(const wire::Resources& each, const wire::Resources& room) {
+  double fit = 1e6;
+  const auto limit = [&](double need, double have) {
+    if (need > 0) fit = std::min(fit, std::floor(have / need + 1e-6));
+  };
+  limit(each.vcpus, room.vcpus);
+  limit(each.accelerators, room.accelerators);
+  limit(each.memoryGb, room.memoryGb);
+  return static_cast<int>(fit);
+}
+
+// Whether the job should be given machines now, or can wait for room that comes free.
+bool urgent(const FleetWorld& world, const jobs::Job& job, double bootS) {
+  if (job.spec.rank >= wire::Rank::high) return true;
+  if (job.spec.dueS) {
+    const double slackS =
+        static_cast<double>(job.dueMs() - world.wallMs) / 1000.0 - job.spec.expectS - kBootReserve * bootS;
+    if (slackS < kPatienceS) return true;
+  }
+  return wire::toSeconds(world.now - job.waitingSince) >= kPatienceS;
+}
+
+struct Coming {
+  PoolKey pool;
+  wire::Resources room;
+};
+
+}  // namespace
+
+std::vector<PoolView> viewPools(const FleetWorld& world) {
+  std::map<PoolKey, PoolView> views;
+  for (const auto& [key, rig] : allPools(world.catalog)) {
+    PoolView& view = views[key];
+    view.key = key;
+    view.ratePerHour = price(*rig, key.loaners);
+    view.refused = world.refused.contains(key);
+  }
+  std::map<PoolKey, std::pair<double, double>> cpus;  // used, total
+  for (const Machine* machine : world.machines) {
+    if (!counts(*machine)) continue;
+    const auto found = views.find(PoolKey{machine->rig, machine->yard, machine->loaners});
+    if (found == views.end()) continue;
+    ++found->second.machines;
+    if (machine->phase != machines::MachinePhase::up) continue;
+    if (machine->empty()) ++found->second.idle;
+    auto& [used, total] = cpus[found->first];
+    used += machine->total.vcpus - machine->room().vcpus;
+    total += machine->total.vcpus;
+  }
+  for (auto& [key, view] : views) {
+    if (const auto found = cpus.find(key); found != cpus.end() && found->second.second > 0)
+      view.busyShare = found->second.first / found->second.second;
+    for (const placement::Unmet& unmet : world.unmet) {
+      if (!placement::allows(unmet.job->spec, key.rig, key.yard, key.loaners)) continue;
+      view.queueWaitS = std::max(view.queueWaitS, wire::toSeconds(world.now - unmet.job->waitingSince));
+      view.queuedTasks += static_cast<int>(unmet.tasks);
+    }
+  }
+  std::vector<PoolView> out;
+  for (auto& [key, view] : views) out.push_back(std::move(view));
+  return out;
+}
+
+std::vector<Rental> shortfall(const FleetWorld& world) {
+  const auto pools = allPools(world.catalog);
+  std::vector<Coming> coming;
+  std::map<PoolKey, int> sizes;
+  for (const Machine* machine : world.machines) {
+    if (!counts(*machine)) continue;
+    const PoolKey key{machine->rig, machine->yard, machine->loaners};
+    ++sizes[key];
+    if (machine->phase == machines::MachinePhase::booting) coming.push_back(Coming{key, machine->total});
+  }
+  for (const auto& [key, rig] : pools) {
+    const auto found = world.pending.find(key);
+    for (std::size_t i = 0; found != world.pending.end() && i < found->second; ++i)
+      coming.push_back(Coming{key, rig->room});
+  }
+  std::map<PoolKey, int> rentals;
+  for (const placement::Unmet& unmet : world.unmet) {
+    const wire::JobSpec& spec = unmet.job->spec;
+    auto byZone = placement::tasksByZone(*unmet.job, world.machines);
+    int left = static_cast<int>(unmet.tasks);
+    const auto fill = [&](Coming& machine) {
+      if (!placement::allows(spec, machine.pool.rig, machine.pool.yard, machine.pool.loaners)) return;
+      while (left > 0 && spec.each.fitsIn(machine.room) && placement::zoneAllows(spec, byZone, machine.pool.yard)) {
+        machine.room -= spec.each;
+        ++byZone[machine.pool.yard];
+        --left;
+      }
+    };
+    for (Coming& machine : coming) fill(machine);
+    while (left > 0) {
+      const PoolKey* best = nullptr;
+      const wire::RigType* bestRig = nullptr;
+      double bestCost = std::numeric_limits<double>::max();
+      for (const auto& [key, rig] : pools) {
+        if (world.refused.contains(key)) continue;
+        if (!placement::allows(spec, key.rig, key.yard, key.loaners)) continue;
+        if (!placement::zoneAllows(spec, byZone, key.yard) || !urgent(world, *unmet.job, rig->bootS)) continue;
+        const int fit = tasksThatFit(spec.each, rig->room);
+        if (fit < 1) continue;
+        // Price of a task's room; a larger pool in one zone breaks ties the other way, to spread the risk.
+        const double cost = price(*rig, key.loaners) / std::min(fit, left) * (1 + 0.001 * sizes[key]);
+        if (cost >= bestCost) continue;
+        bestCost = cost;
+        best = &key;
+        bestRig = rig;
+      }
+      if (best == nullptr) break;
+      ++rentals[*best];
+      ++sizes[*best];
+      coming.push_back(Coming{*best, bestRig->room});
+      fill(coming.back());
+    }
+  }
+  std::vector<Rental> out;
+  for (const auto& [key, count] : rentals) out.push_back(Rental{key, count});
+  return out;
+}
+
+std::vector<Machine*> idleReturns(const FleetWorld& world) {
+  double prodUse = 0;
+  double ordinaryFree = 0;
+  for (const Machine* machine : world.machines) {
+    if (machine->phase != machines::MachinePhase::up) continue;
+    for (const machines::Attempt& attempt : machine->attempts)
+      if (attempt.holdsRoom() && attempt.rank == wire::Rank::prod) prodUse += attempt.each.vcpus;
+    if (!machine->loaners) ordinaryFree += std::max(0.0, machine->room().vcpus);
+  }
+  const double spare = prodUse * world.settings.operators.spareShare;
+  std::vector<Machine*> out;
+  for (Machine* machine : world.machines) {
+    if (machine->phase != machines::MachinePhase::up || !machine->attempts.empty() || machine->recordBusy) continue;
+    if (world.now - machine->idleSince < wire::seconds(world.settings.operators.idleReturnS)) continue;
+    if (!machine->loaners) {
+      if (ordinaryFree - machine->total.vcpus < spare) continue;
+      ordinaryFree -= machine->total.vcpus;
+    }
+    out.push_back(machine);
+  }
+  return out;
+}
+
+}  // namespace reachhoist::fleet
--- /dev/null
+++ b/src/fleet/pools.hpp
@@ -0,0 +1,53 @@
+// What sizing sees of the pools, and the extensions of the ordinary path: shortfall, lost machines, idle returns.
+#pragma once
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "cloud/client.hpp"
+#include "placement/planner.hpp"
+
+namespace reachhoist::fleet {
+
+using cloud::PoolKey;
+using machines::Machine;
+using wire::Time;
+
+struct PoolView {
+  PoolKey key;
+  int machines = 0;        // booting or up
+  int idle = 0;            // up and empty
+  double busyShare = 0;    // of the vCPUs of machines that are up
+  double queueWaitS = 0;   // longest wait of work that this pool could take
+  int queuedTasks = 0;
+  double ratePerHour = 0;  // of one machine
+  bool refused = false;    // its last rental was refused
+};
+
+struct Rental {
+  PoolKey pool;
+  int count = 0;
+};
+
+struct FleetWorld {
+  const config::Settings& settings;
+  const std::vector<wire::RigType>& catalog;
+  Time now{};
+  std::int64_t wallMs = 0;
+  std::vector<Machine*> machines;
+  std::vector<placement::Unmet> unmet;
+  std::set<PoolKey> refused;
+  std::map<PoolKey, std::size_t> pending;  // asked for, no answer yet
+};
+
+std::vector<PoolView> viewPools(const FleetWorld& world);
+
+// Extension "shortfall": work for which no machine, up or coming, has room, and that can't wait for the rounds.
+// Rents what a packing of that work needs; acts on nothing once the queue is placed.
+std::vector<Rental> shortfall(const FleetWorld& world);
+
+// Extension "idle": machines empty for longer than the operators' limit and not needed as spare room.
+std::vector<Machine*> idleReturns(const FleetWorld& world);
+
+}  // namespace reachhoist::fleet
--- /dev/null
+++ b/src/jobs/jobs.cpp
@@ -0,0 +1,163 @@
+#include "jobs/jobs.hpp"
+
+#include <limits>
+
+namespace reachhoist::jobs {
+
+namespace {
+constexpr char kHex[] = "0123456789abcdef";
+
+int hexValue(char c) {
+  if (c >= '0' && c <= '9') return c - '0';
+  if (c >= 'a' && c <= 'f') return c - 'a' + 10;
+  return -1;
+}
+}  // namespace
+
+std::string_view name(JobPhase phase) {
+  switch (phase) {
+    case JobPhase::accepted: return "accepted";
+    case JobPhase::done: return "done";
+    case JobPhase::cancelled: return "cancelled";
+  }
+  return "accepted";
+}
+
+std::string jobKey(const std::string& ref) { return "jobs/" + ref; }
+std::string doneKey(const std::string& ref, std::uint32_t chunk) {
+  return "done/" + ref + "/" + std::to_string(chunk);
+}
+
+wire::Stage Job::shownStage() const {
+  if (phase == JobPhase::done) return wire::Stage::done;
+  if (phase == JobPhase::cancelled) return wire::Stage::cancelled;
+  return (tasks.empty() ? shownRunning : running) > 0 ? wire::Stage::running : wire::Stage::pending;
+}
+
+void Job::to(std::uint32_t index, TaskPhase next, Time now) {
+  TaskPhase& phase = tasks.at(index);
+  if (phase == next) return;
+  const auto counter = [this](TaskPhase of) -> std::uint32_t& {
+    return of == TaskPhase::waiting ? waiting : of == TaskPhase::placed ? placed : completed;
+  };
+  --counter(phase);
+  ++counter(next);
+  phase = next;
+  if (next == TaskPhase::waiting) {
+    if (waiting == 1) waitingSince = now;
+    firstWaiting = std::min(firstWaiting, index);
+  }
+  while (firstWaiting < spec.loads && tasks[firstWaiting] != TaskPhase::waiting) ++firstWaiting;
+}
+
+void Job::beginOwning(Time now) {
+  tasks.assign(spec.loads, TaskPhase::waiting);
+  waiting = spec.loads;
+  placed = running = completed = firstWaiting = 0;
+  doneStamps.clear();
+  dirtyChunks.clear();
+  errors = 0;
+  errorHosts.clear();
+  heldUntil = Time{};
+  waitingSince = now;
+}
+
+void Job::endOwning() {
+  shownDone = completed;
+  shownRunning = running;
+  tasks.clear();
+  tasks.shrink_to_fit();
+  waiting = placed = running = completed = firstWaiting = 0;
+  doneStamps.clear();
+  dirtyChunks.clear();
+  errorHosts.clear();
+}
+
+std::string Job::doneChunk(std::uint32_t chunk) const {
+  const std::uint32_t begin = chunk * constants::kDoneChunk;
+  const std::uint32_t end = std::min(spec.loads, begin + constants::kDoneChunk);
+  std::string hex;
+  for (std::uint32_t at = begin; at < end; at += 4) {
+    unsigned nibble = 0;
+    for (std::uint32_t bit = 0; bit < 4 && at + bit < end; ++bit)
+      if (tasks[at + bit] == TaskPhase::completed) nibble |= 1U << bit;
+    hex.push_back(kHex[nibble]);
+  }
+  return hex;
+}
+
+bool Job::loadDoneChunk(std::uint32_t chunk, const std::string& hex, std::uint64_t stamp, Time now) {
+  const std::uint32_t begin = chunk * constants::kDoneChunk;
+  if (chunk > spec.loads / constants::kDoneChunk || hex.size() > constants::kDoneChunk / 4) return false;
+  for (std::size_t i = 0; i < hex.size(); ++i) {
+    const int nibble = hexValue(hex[i]);
+    if (nibble < 0) return false;
+    for (std::uint32_t bit = 0; bit < 4; ++bit) {
+      const std::uint32_t index = begin + static_cast<std::uint32_t>(i) * 4 + bit;
+      if ((static_cast<unsigned>(nibble) >> bit & 1U) != 0 && index < spec.loads)
+        to(index, TaskPhase::completed, now);
+    }
+  }
+  doneStamps[chunk] = stamp;
+  return true;
+}
+
+std::int64_t Job::dueMs() const {
+  if (!spec.dueS) return std::numeric_limits<std::int64_t>::max();
+  return acceptedMs + static_cast<std::int64_t>(*spec.dueS * 1000);
+}
+
+Json encodeOpen(const Job& job) {
+  return Json{{"phase", name(JobPhase::accepted)}, {"atMs", job.acceptedMs}, {"spec", wire::encodeJob(job.spec)}};
+}
+
+Json encodeFinal(const Job& job, JobPhase phase) {
+  return Json{{"phase", name(phase)}, {"atMs", job.acceptedMs}, {"loads", job.spec.loads}};
+}
+
+JobTable::Change JobTable::apply(const std::string& ref, const Json& value, std::uint64_t stamp) {
+  Job* known = find(ref);
+  if (known != nullptr && known->stamp >= stamp) return Change::none;
+  const auto phase = wire::textField(value, "phase");
+  if (!phase || !wire::validJobRef(ref)) return Change::malformed;
+  if (*phase == name(JobPhase::accepted)) {
+    const Json* spec = wire::field(value, "spec");
+    auto decoded = spec != nullptr ? wire::decodeJob(*spec) : wire::Result<wire::JobSpec>::failure("no spec");
+    if (!decoded) return Change::malformed;
+    // A final stage never goes back, whatever a record says.
+    if (known != nullptr && !known->open()) return Change::malformed;
+    Job& job = jobs_[ref];
+    const bool fresh = known == nullptr;
+    job.stamp = stamp;
+    job.acceptedMs = wire::field(value, "atMs") != nullptr && value["atMs"].is_number()
+                         ? value["atMs"].get<std::int64_t>()
+                         : 0;
+    if (fresh) job.spec = std::move(*decoded);
+    open_.insert(ref);
+    return fresh ? Change::accepted : Change::none;
+  }
+  JobPhase next = JobPhase::cancelled;
+  if (*phase == name(JobPhase::done)) {
+    next = JobPhase::done;
+  } else if (*phase != name(JobPhase::cancelled)) {
+    return Change::malformed;
+  }
+  Job& job = jobs_[ref];
+  if (known != nullptr && !known->open()) {
+    job.stamp = stamp;
+    return known->phase == next ? Change::none : Change::malformed;
+  }
+  job.stamp = stamp;
+  job.phase = next;
+  job.spec.ref.text = ref;
+  job.spec.loads = static_cast<std::uint32_t>(wire::countField(value, "loads").value_or(job.spec.loads));
+  open_.erase(ref);
+  return Change::ended;
+}
+
+Job* JobTable::find(const std::string& ref) {
+  const auto found = jobs_.find(ref);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+}  // namespace reachhoist::jobs
--- /dev/null
+++ b/src/jobs/jobs.hpp
@@ -0,0 +1,78 @@
+// The jobs as the state service has them, and for their owner what became of each task.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "config/settings.hpp"
+#include "wire/exchange.hpp"
+
+namespace reachhoist::jobs {
+
+using wire::Json;
+using wire::Time;
+
+enum class JobPhase { accepted, done, cancelled };
+std::string_view name(JobPhase phase);
+
+enum class TaskPhase : std::uint8_t { waiting, placed, completed };
+
+struct Job {
+  wire::JobSpec spec;  // emptied but for ref and loads when the job is final
+  JobPhase phase = JobPhase::accepted;
+  std::uint64_t stamp = 0;
+  std::int64_t acceptedMs = 0;  // time of day of the first acceptance
+
+  // For display where this controller doesn't own the job.
+  std::uint32_t shownDone = 0;
+  std::uint32_t shownRunning = 0;
+
+  // The owner's view.
+  std::vector<TaskPhase> tasks;
+  std::uint32_t waiting = 0;
+  std::uint32_t placed = 0;
+  std::uint32_t running = 0;
+  std::uint32_t completed = 0;
+  std::uint32_t firstWaiting = 0;  // no task below this one is waiting
+  std::map<std::uint32_t, std::uint64_t> doneStamps;  // chunk -> stamp of its key
+  std::set<std::uint32_t> dirtyChunks;                // completions not durable yet
+  int errors = 0;
+  std::set<std::string> errorHosts;
+  Time heldUntil{};
+  Time waitingSince{};
+
+  bool open() const { return phase == JobPhase::accepted; }
+  bool finished() const { return spec.shape == wire::Shape::sweep && completed == spec.loads; }
+  wire::Stage shownStage() const;
+  // The one function that changes a task's phase.
+  void to(std::uint32_t index, TaskPhase next, Time now);
+  void beginOwning(Time now);
+  void endOwning();
+  std::string doneChunk(std::uint32_t chunk) const;
+  bool loadDoneChunk(std::uint32_t chunk, const std::string& hex, std::uint64_t stamp, Time now);
+  std::int64_t dueMs() const;  // time of day; the largest value when there is none
+};
+
+std::string jobKey(const std::string& ref);
+std::string doneKey(const std::string& ref, std::uint32_t chunk);
+Json encodeOpen(const Job& job);
+Json encodeFinal(const Job& job, JobPhase phase);
+
+class JobTable {
+ public:
+  enum class Change { none, accepted, ended, malformed };
+  // Takes a key of the state service; older stamps than the one known change nothing.
+  Change apply(const std::string& ref, const Json& value, std::uint64_t stamp);
+  Job* find(const std::string& ref);
+  const std::set<std::string>& open() const { return open_; }
+  std::size_t size() const { return jobs_.size(); }
+
+ private:
+  std::unordered_map<std::string, Job> jobs_;
+  std::set<std::string> open_;
+};
+
+}  // namespace reachhoist::jobs
--- /dev/null
+++ b/src/machines/machines.cpp
@@ -0,0 +1,103 @@
+#include "machines/machines.hpp"
+
+#include <algorithm>
+
+namespace reachhoist::machines {
+
+std::string_view name(AttemptPhase phase) {
+  switch (phase) {
+    case AttemptPhase::planned: return "planned";
+    case AttemptPhase::recorded: return "recorded";
+    case AttemptPhase::pulling: return "pulling";
+    case AttemptPhase::running: return "running";
+    case AttemptPhase::saving: return "saving";
+    case AttemptPhase::ended: return "ended";
+    case AttemptPhase::free: return "free";
+  }
+  return "free";
+}
+
+std::string_view name(MachinePhase phase) {
+  switch (phase) {
+    case MachinePhase::booting: return "booting";
+    case MachinePhase::up: return "up";
+    case MachinePhase::draining: return "draining";
+    case MachinePhase::retiring: return "retiring";
+    case MachinePhase::returning: return "returning";
+    case MachinePhase::gone: return "gone";
+  }
+  return "gone";
+}
+
+void Attempt::to(AttemptPhase next, Time now) {
+  if (phase == next) return;
+  if (next == AttemptPhase::running && runningSince == Time{}) runningSince = now;
+  phase = next;
+  since = now;
+}
+
+void Machine::to(MachinePhase next, Time now) {
+  if (phase == next) return;
+  if (next == MachinePhase::up && upSince == Time{}) {
+    upSince = now;
+    idleSince = now;
+  }
+  phase = next;
+}
+
+wire::Resources Machine::room() const {
+  wire::Resources room = total;
+  for (const Attempt& attempt : attempts)
+    if (attempt.holdsRoom()) room -= attempt.each;
+  return room;
+}
+
+bool Machine::empty() const {
+  return std::none_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.holdsRoom(); });
+}
+
+Attempt* Machine::find(const wire::TaskId& task, std::uint64_t number) {
+  for (Attempt& attempt : attempts)
+    if (attempt.number == number && attempt.task == task) return &attempt;
+  return nullptr;
+}
+
+bool Machine::fetching(const std::string& crate) const {
+  return std::any_of(attempts.begin(), attempts.end(),
+                     [&](const Attempt& a) { return a.holdsRoom() && a.crate == crate; });
+}
+
+void Machine::noteCrate(const std::string& crate, double sizeGb) {
+  crates[crate] = sizeGb;
+  // Which image the machine drops when its cache is full is its own affair: past the limit nothing but the
+  // newest is sure.
+  double sum = 0;
+  for (const auto& [label, gb] : crates) sum += gb;
+  if (cacheGb > 0 && sum > cacheGb) {
+    crates.clear();
+    crates[crate] = sizeGb;
+  }
+}
+
+Json Machine::record(bool retiring) const {
+  Json list = Json::array();
+  for (const Attempt& attempt : attempts)
+    if (attempt.phase != AttemptPhase::free) list.push_back(Json::array({attempt.task.str(), attempt.number}));
+  return Json{{"rig", rig},         {"yard", yard},           {"loaners", loaners}, {"endpoint", endpoint},
+              {"shift", shift},     {"retiring", retiring},   {"placed", std::move(list)}};
+}
+
+std::string machineKey(const std::string& host) { return "machines/" + host; }
+
+Machine* MachineTable::find(const std::string& host) {
+  const auto found = machines_.find(host);
+  return found == machines_.end() ? nullptr : &found->second;
+}
+
+Machine& MachineTable::add(const std::string& host) {
+  Machine& machine = machines_[host];
+  machine.host.text = host;
+  return machine;
+}
+
+}  // namespace reachhoist::machines
--- /dev/null
+++ b/src/machines/machines.hpp
@@ -0,0 +1,114 @@
+// The machines of the parts owned here, and the attempts placed on them.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jobs/jobs.hpp"
+
+namespace reachhoist::machines {
+
+using wire::Json;
+using wire::Time;
+
+// planned: its record is being written. recorded: durable, may be launched. pulling, running, saving, ended: as
+// the worker reports. free: proven gone; it holds nothing and can be dropped.
+enum class AttemptPhase { planned, recorded, pulling, running, saving, ended, free };
+std::string_view name(AttemptPhase phase);
+
+struct Attempt {
+  wire::TaskId task;
+  std::uint64_t number = 0;
+  wire::Resources each;
+  std::string crew;
+  std::string crate;
+  double sizeGb = 0;
+  wire::Rank rank = wire::Rank::standard;
+  bool daemon = false;
+  bool saves = false;
+  double stowS = 0;
+  AttemptPhase phase = AttemptPhase::planned;
+  wire::Cause cause = wire::Cause::none;
+  bool inherited = false;  // from an earlier owner: it may have ended and been reaped already
+  bool stopWanted = false;
+  double windDownS = 0;
+  bool stopSent = false;
+  int directs = 0;  // direct commands for it on their way
+  std::optional<std::uint64_t> openBaton;  // of a direct launch that got no answer
+  Time since{};       // of the phase
+  Time placedAt{};
+  Time runningSince{};
+
+  bool holdsRoom() const { return phase != AttemptPhase::ended && phase != AttemptPhase::free; }
+  bool onMachine() const { return phase == AttemptPhase::running || phase == AttemptPhase::saving; }
+  void to(AttemptPhase next, Time now);
+};
+
+// booting: rented, not heard of. up: takes work. draining: gets no work, what it has is stopped or left to end.
+// retiring: the record that says so is being written. returning: the cloud has been asked to take it back.
+// gone: proven.
+enum class MachinePhase { booting, up, draining, retiring, returning, gone };
+std::string_view name(MachinePhase phase);
+
+struct Machine {
+  wire::HostName host;
+  std::string endpoint;
+  std::string rig;
+  std::string yard;
+  bool loaners = false;
+  wire::Resources total;
+  double cacheGb = 0;
+  double pullGbPerS = 1;
+  MachinePhase phase = MachinePhase::booting;
+  std::uint64_t shift = 0;
+  std::uint64_t tally = 0;
+  std::uint64_t workerBaton = 0;  // highest the worker is known to have seen
+  std::uint64_t fence = 0;
+  std::uint64_t stamp = 0;  // of its record; 0: none
+  bool recordBusy = false;  // a write of its record is under way
+  bool recordStale = false; // the record holds attempts that are free
+  bool direct = false;      // a direct command is under way
+  bool ordersDue = false;   // orders have come up that no report is likely to carry soon
+  bool returnAsked = false;
+  const char* returnReason = "";
+  Time rentedAt{};
+  Time upSince{};
+  Time lastHeard{};
+  Time lastAnswered{};  // no answer that renews its lease was given after this
+  Time idleSince{};
+  Time nextDirect{};
+  std::optional<Time> recallAt;
+  std::vector<Attempt> attempts;
+  std::map<std::string, double> crates;  // images it has: GB
+  int errorsInRow = 0;
+  std::vector<std::string> errorJobs;
+  bool sick = false;
+
+  void to(MachinePhase next, Time now);
+  wire::Resources room() const;
+  bool empty() const;  // nothing holds room
+  Attempt* find(const wire::TaskId& task, std::uint64_t number);
+  bool fetching(const std::string& crate) const;
+  bool has(const std::string& crate) const { return crates.contains(crate); }
+  void noteCrate(const std::string& crate, double sizeGb);
+  Json record(bool retiring) const;
+};
+
+std::string machineKey(const std::string& host);
+
+class MachineTable {
+ public:
+  Machine* find(const std::string& host);
+  Machine& add(const std::string& host);
+  void remove(const std::string& host) { machines_.erase(host); }
+  void clear() { machines_.clear(); }
+  std::map<std::string, Machine>& all() { return machines_; }
+  const std::map<std::string, Machine>& all() const { return machines_; }
+
+ private:
+  std::map<std::string, Machine> machines_;
+};
+
+}  // namespace reachhoist::machines
--- /dev/null
+++ b/src/net/reactor.cpp
@@ -0,0 +1,241 @@
+#include "net/reactor.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <stdexcept>
+#include <system_error>
+
+namespace reachhoist::net {
+
+namespace {
+constexpr int kEventsPerTurn = 64;
+constexpr int kBacklog = 512;
+
+sockaddr_in toSockaddr(const Address& address) {
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  out.sin_addr.s_addr = address.ip;
+  out.sin_port = htons(address.port);
+  return out;
+}
+}  // namespace
+
+Fd& Fd::operator=(Fd&& other) noexcept {
+  if (this != &other) {
+    reset();
+    number_ = std::exchange(other.number_, -1);
+  }
+  return *this;
+}
+
+void Fd::reset() {
+  if (number_ >= 0) ::close(number_);
+  number_ = -1;
+}
+
+bool Address::parse(const std::string& text, Address& out) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) return false;
+  in_addr ip{};
+  if (::inet_pton(AF_INET, text.substr(0, colon).c_str(), &ip) != 1) return false;
+  const char* begin = text.data() + colon + 1;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(begin, end, out.port);
+  if (error != std::errc{} || stop != end || out.port == 0) return false;
+  out.ip = ip.s_addr;
+  return true;
+}
+
+// --- Socket ---------------------------------------------------------------------------------------------
+
+struct Socket::Wait {
+  Socket& socket;
+  Waiter& waiter;
+  Time deadline;
+  bool await_ready() const { return waiter.ready; }
+  void await_suspend(std::coroutine_handle<> handle) {
+    waiter.handle = handle;
+    waiter.timedOut = false;
+    waiter.timer = socket.reactor_.at(deadline, [w = &waiter] {
+      w->timer = 0;
+      w->timedOut = true;
+      std::exchange(w->handle, {}).resume();
+    });
+  }
+  bool await_resume() {
+    if (waiter.timedOut) {
+      waiter.timedOut = false;
+      return false;
+    }
+    waiter.ready = false;
+    return true;
+  }
+};
+
+Socket::Socket(Reactor& reactor, Fd fd) : reactor_(reactor), fd_(std::move(fd)) { reactor_.add(*this); }
+
+Socket::~Socket() {
+  if (read_.timer != 0) reactor_.cancel(read_.timer);
+  if (write_.timer != 0) reactor_.cancel(write_.timer);
+  reactor_.remove(*this);
+}
+
+void Socket::wake(Waiter& waiter) {
+  waiter.ready = true;
+  if (!waiter.handle) return;
+  if (waiter.timer != 0) reactor_.cancel(std::exchange(waiter.timer, 0));
+  std::exchange(waiter.handle, {}).resume();
+}
+
+Task<bool> Socket::readable(Time deadline) { co_return co_await Wait{*this, read_, deadline}; }
+Task<bool> Socket::writable(Time deadline) { co_return co_await Wait{*this, write_, deadline}; }
+
+Task<std::size_t> Socket::read(char* into, std::size_t most, Time deadline) {
+  for (;;) {
+    const ssize_t got = ::recv(fd_.get(), into, most, 0);
+    if (got >= 0) co_return static_cast<std::size_t>(got);
+    if (errno == EINTR) continue;
+    if (errno != EAGAIN && errno != EWOULDBLOCK) co_return 0;
+    if (!co_await Wait{*this, read_, deadline}) co_return 0;
+  }
+}
+
+Task<bool> Socket::writeAll(const char* from, std::size_t size, Time deadline) {
+  while (size > 0) {
+    const ssize_t sent = ::send(fd_.get(), from, size, MSG_NOSIGNAL);
+    if (sent > 0) {
+      from += sent;
+      size -= static_cast<std::size_t>(sent);
+      continue;
+    }
+    if (sent < 0 && errno == EINTR) continue;
+    if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK) co_return false;
+    if (!co_await Wait{*this, write_, deadline}) co_return false;
+  }
+  co_return true;
+}
+
+// --- Reactor --------------------------------------------------------------------------------------------
+
+Reactor::Reactor() : epoll_(::epoll_create1(EPOLL_CLOEXEC)) {
+  if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll_create1");
+}
+
+void Reactor::add(Socket& socket) {
+  const std::uint64_t number = nextSocket_++;
+  epoll_event event{};
+  event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+  event.data.u64 = number;
+  if (::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, socket.fd(), &event) != 0)
+    throw std::system_error(errno, std::generic_category(), "epoll_ctl");
+  sockets_[number] = &socket;
+  numbers_[&socket] = number;
+}
+
+void Reactor::remove(Socket& socket) {
+  const auto found = numbers_.find(&socket);
+  if (found == numbers_.end()) return;
+  sockets_.erase(found->second);
+  numbers_.erase(found);
+  ::epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, socket.fd(), nullptr);
+}
+
+std::uint64_t Reactor::at(Time when, std::function<void()> action) {
+  const std::uint64_t number = nextTimer_++;
+  timers_.emplace(std::pair{when, number}, std::move(action));
+  timerTimes_.emplace(number, when);
+  return number;
+}
+
+void Reactor::cancel(std::uint64_t timer) {
+  const auto found = timerTimes_.find(timer);
+  if (found == timerTimes_.end()) return;
+  timers_.erase({found->second, timer});
+  timerTimes_.erase(found);
+}
+
+void Reactor::post(std::function<void()> action) { posted_.push_back(std::move(action)); }
+
+void Reactor::run() {
+  std::array<epoll_event, kEventsPerTurn> events{};
+  for (;;) {
+    for (auto& action : std::exchange(posted_, {})) action();
+    Time now = this->now();
+    while (!timers_.empty() && timers_.begin()->first.first <= now) {
+      auto first = timers_.extract(timers_.begin());
+      timerTimes_.erase(first.key().second);
+      first.mapped()();
+    }
+    int waitMs = -1;
+    if (!posted_.empty()) {
+      waitMs = 0;
+    } else if (!timers_.empty()) {
+      now = this->now();
+      const auto left = std::chrono::ceil<std::chrono::milliseconds>(timers_.begin()->first.first - now);
+      waitMs = left.count() > 0 ? static_cast<int>(left.count()) : 0;
+    }
+    const int count = ::epoll_wait(epoll_.get(), events.data(), kEventsPerTurn, waitMs);
+    for (int i = 0; i < count; ++i) {
+      const epoll_event& event = events[static_cast<std::size_t>(i)];
+      const bool broken = (event.events & (EPOLLERR | EPOLLHUP)) != 0;
+      // Looked up twice: the reader that is woken first may have destroyed the socket.
+      if (broken || (event.events & (EPOLLIN | EPOLLRDHUP)) != 0) {
+        if (const auto found = sockets_.find(event.data.u64); found != sockets_.end())
+          found->second->wake(found->second->read_);
+      }
+      if (broken || (event.events & EPOLLOUT) != 0) {
+        if (const auto found = sockets_.find(event.data.u64); found != sockets_.end())
+          found->second->wake(found->second->write_);
+      }
+    }
+  }
+}
+
+Fd listenOn(const Address& address, std::string& error) {
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  const int one = 1;
+  const sockaddr_in where = toSockaddr(address);
+  if (!fd || ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) != 0 ||
+      ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&where), sizeof where) != 0 ||
+      ::listen(fd.get(), kBacklog) != 0) {
+    error = std::strerror(errno);
+    return Fd{};
+  }
+  return fd;
+}
+
+Task<std::unique_ptr<Socket>> connectTo(Reactor& reactor, Address address, Time deadline) {
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!fd) co_return nullptr;
+  const int one = 1;
+  ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  const sockaddr_in where = toSockaddr(address);
+  const int status = ::connect(fd.get(), reinterpret_cast<const sockaddr*>(&where), sizeof where);
+  const bool pending = status != 0 && errno == EINPROGRESS;
+  if (status != 0 && !pending) co_return nullptr;
+  auto socket = std::make_unique<Socket>(reactor, std::move(fd));
+  if (pending) {
+    for (;;) {
+      if (!co_await socket->writable(deadline)) co_return nullptr;
+      int error = 0;
+      socklen_t size = sizeof error;
+      if (::getsockopt(socket->fd(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) co_return nullptr;
+      // The edge set at registration may come before the connection is made.
+      sockaddr_in peer{};
+      socklen_t peerSize = sizeof peer;
+      if (::getpeername(socket->fd(), reinterpret_cast<sockaddr*>(&peer), &peerSize) == 0) break;
+    }
+  }
+  co_return socket;
+}
+
+}  // namespace reachhoist::net
--- /dev/null
+++ b/src/peer/codec.hpp
@@ -0,0 +1,39 @@
+// Messages between controllers as values; Cap'n Proto on the wire (serialization only).
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace reachhoist::peer {
+
+struct Relay {
+  std::uint64_t number = 0;
+  std::string report;
+};
+struct Relayed {
+  std::uint64_t number = 0;
+  int status = 503;
+  std::string body;
+};
+struct JobProgress {
+  std::string ref;
+  std::uint32_t done = 0;
+  std::uint32_t running = 0;
+};
+struct Progress {
+  std::uint64_t term = 0;
+  std::vector<JobProgress> jobs;
+};
+struct Message {
+  std::string from;
+  std::variant<Relay, Relayed, Progress> what;
+};
+
+std::string encode(const Message& message);
+// Nothing when the frame is malformed.
+std::optional<Message> decode(const std::string& frame);
+
+}  // namespace reachhoist::peer
--- /dev/null
+++ b/src/placement/planner.hpp
@@ -0,0 +1,68 @@
+// Which waiting task goes to which machine, and what may be stopped to make room. Decisions only: nothing here
+// changes jobs or machines.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "machines/machines.hpp"
+
+namespace reachhoist::placement {
+
+using jobs::Job;
+using machines::Machine;
+using wire::Time;
+
+struct Assignment {
+  Job* job = nullptr;
+  std::uint32_t index = 0;
+  Machine* machine = nullptr;
+};
+
+struct Stop {
+  Machine* machine = nullptr;
+  wire::TaskId task;
+  std::uint64_t attempt = 0;
+  double windDownS = 0;
+};
+
+// Work that found no room: what sizing follows.
+struct Unmet {
+  const Job* job = nullptr;
+  std::uint32_t tasks = 0;
+};
+
+struct Plan {
+  std::vector<Assignment> assignments;
+  std::vector<Stop> stops;
+  std::vector<Unmet> unmet;
+};
+
+struct TeamUse {
+  double cpus = 0;
+  double gpus = 0;
+};
+
+struct World {
+  const config::Settings& settings;
+  Time now{};
+  std::int64_t wallMs = 0;
+  std::vector<Job*> jobs;          // open ones with waiting tasks
+  std::vector<Machine*> machines;  // all that are not gone
+  std::size_t maxMachines = 12;    // records one transaction can write
+  std::size_t maxJobs = 30;        // conditions left for jobs
+  std::size_t maxTasks = 400;
+};
+
+// Whether machines of this kind may run the job at all (its other tasks aside).
+bool allows(const wire::JobSpec& job, const std::string& rig, const std::string& yard, bool loaners);
+
+Plan plan(const World& world);
+
+// Tasks of the job that one zone may still take (`oneZone`, `apart`), given those placed now.
+std::map<std::string, std::uint32_t> tasksByZone(const Job& job, const std::vector<Machine*>& machines);
+bool zoneAllows(const wire::JobSpec& job, const std::map<std::string, std::uint32_t>& placed,
+                const std::string& zone);
+
+}  // namespace reachhoist::placement
--- /dev/null
+++ b/src/service/controller.cpp
@@ -0,0 +1,271 @@
+#include "service/controller.hpp"
+
+namespace reachhoist::service {
+
+namespace {
+constexpr std::string_view kJobsPath = "/api/jobs";
+constexpr std::string_view kAbortEnd = "/abort";
+constexpr std::string_view kJobsPrefix = "jobs/";
+constexpr const char* kCatalogKey = "catalog";
+constexpr int kFullBeats = 5;  // every so many progress messages one names all jobs, in case one was lost
+}  // namespace
+
+void Context::event(Level of, std::string_view name, std::initializer_list<LogField> fields) const {
+  if (!logs(of)) return;
+  std::string line = "event=" + std::string(name);
+  for (const LogField& field : fields) line.append(" ").append(field.key).append("=").append(field.value);
+  logSink(of, line);
+}
+
+Controller::Controller(const config::Settings& settings, std::uint64_t seed, Level level, Context::LogSink sink)
+    : settings_(settings),
+      context_(settings, level, std::move(sink)),
+      jobFeed_(context_.state, std::string(kJobsPrefix), state::Urgency::place,
+               wire::seconds(1.0 / (settings.stateRps * constants::kPollShare)),
+               {[this](const auto& key, const Json* value, std::uint64_t stamp) { onJob(key, value, stamp); },
+                nullptr, nullptr}),
+      leadership_(context_.state, settings, seed,
+                  {[this](std::uint64_t term, std::uint64_t stamp) {
+                     // Made in the next turn: this is called from within the leadership's own affairs.
+                     ownerDue_ = true;
+                     ownerTerm_ = term;
+                     ownerStamp_ = stamp;
+                     context_.event(Level::info, "elected", {{"term", term}});
+                   },
+                   [this](const char* why) {
+                     ownerDue_ = true;
+                     ownerTerm_ = 0;
+                     context_.event(Level::info, "deposed", {{"why", why}});
+                   }}),
+      users_(context_, jobFeed_, jobs_, [this](auto change, const std::string& ref) { applied(change, ref); }) {}
+
+void Controller::at(Time now, std::int64_t wallMs) {
+  context_.now = now;
+  context_.wallMs = wallMs;
+}
+
+void Controller::start(Time now, std::int64_t wallMs) {
+  at(now, wallMs);
+  context_.event(Level::info, "start", {{"label", settings_.label}});
+  jobFeed_.start(now);
+  leadership_.start(now);
+  fetchCatalog();
+}
+
+void Controller::tick(Time now, std::int64_t wallMs) {
+  at(now, wallMs);
+  if (ownerDue_) {
+    ownerDue_ = false;
+    if (owner_) {
+      for (const std::string& ref : jobs_.open()) jobs_.find(ref)->endOwning();
+      owner_.reset();
+    }
+    if (ownerTerm_ != 0)
+      owner_ = std::make_unique<Owner>(context_, leadership_, jobFeed_, jobs_, ownerTerm_, ownerStamp_);
+  }
+  leadership_.tick(now);
+  // The owner's window for answering workers rests on this read as well as on the lease.
+  if (owner_ && now >= nextConfirm_) {
+    nextConfirm_ = now + constants::kConfirmEvery;
+    jobFeed_.confirm(now, [](bool) {});
+  }
+  jobFeed_.tick(now);
+  users_.tick();
+  if (owner_) owner_->tick();
+  fetchCatalog();
+  if (now >= nextBeat_) beat();
+  std::erase_if(redirects_, [now](const auto& entry) { return now - entry.second.at > constants::kRelayMemory; });
+  for (auto relay = relays_.begin(); relay != relays_.end();) {
+    if (relay->second.deadline > now) {
+      ++relay;
+      continue;
+    }
+    context_.later(relay->second.request);
+    relay = relays_.erase(relay);
+  }
+  context_.state.pump(now);
+}
+
+Actions Controller::drain() {
+  Actions out;
+  out.calls = context_.calls.drain();
+  out.replies = std::exchange(context_.replies, {});
+  out.peers = std::exchange(context_.peerOut, {});
+  return out;
+}
+
+void Controller::onResult(Time now, std::int64_t wallMs, std::uint64_t call, const wire::CallResult& result) {
+  at(now, wallMs);
+  context_.calls.complete(call, result);
+  // What has just become known may start the next round at once.
+  if (owner_ && !ownerDue_) owner_->tick();
+}
+
+void Controller::onJob(const std::string& key, const Json* value, std::uint64_t stamp) {
+  if (value == nullptr || !key.starts_with(kJobsPrefix)) return;
+  const std::string ref = key.substr(kJobsPrefix.size());
+  applied(jobs_.apply(ref, *value, stamp), ref);
+}
+
+void Controller::applied(jobs::JobTable::Change change, const std::string& ref) {
+  using Change = jobs::JobTable::Change;
+  if (change == Change::malformed) context_.event(Level::error, "bad_record", {{"job", ref}});
+  if (!owner_ || ownerDue_) return;
+  if (change == Change::accepted) owner_->onJobAccepted(*jobs_.find(ref));
+  if (change == Change::ended) owner_->onJobEnded(*jobs_.find(ref));
+}
+
+// --- requests ----------------------------------------------------------------------------------------------
+
+void Controller::onRequest(Time now, std::int64_t wallMs, const Request& request) {
+  at(now, wallMs);
+  std::string_view path = request.target;
+  path = path.substr(0, path.find('?'));
+  const bool get = request.method == "GET";
+  const bool post = request.method == "POST";
+  const auto wrongMethod = [&] { context_.reply(request.number, 405, Json{{"error", "method not allowed"}}); };
+  if (path == "/healthz") {
+    if (!get) return wrongMethod();
+    const bool able = jobFeed_.ready() && context_.catalog.has_value();
+    return able ? context_.reply(request.number, 200, Json{{"ok", true}}) : context_.later(request.number);
+  }
+  if (path == "/v1/report") {
+    if (!post) return wrongMethod();
+    return report(request.number, request.body);
+  }
+  if (path == kJobsPath) {
+    if (!post) return wrongMethod();
+    return users_.submit(request.number, request.body);
+  }
+  if (path.starts_with(kJobsPath) && path.size() > kJobsPath.size() + 1 && path[kJobsPath.size()] == '/') {
+    path.remove_prefix(kJobsPath.size() + 1);
+    if (path.ends_with(kAbortEnd)) {
+      if (!post) return wrongMethod();
+      return users_.abort(request.number, std::string(path.substr(0, path.size() - kAbortEnd.size())));
+    }
+    if (path.find('/') == std::string_view::npos) {
+      if (!get) return wrongMethod();
+      return users_.query(request.number, std::string(path));
+    }
+  }
+  context_.reply(request.number, 404, Json{{"error", "no such path"}});
+}
+
+void Controller::report(std::uint64_t request, const std::string& body) {
+  const auto decoded = wire::decodeBody(body);
+  const auto report = decoded ? wire::decodeReport(*decoded) : wire::Result<wire::Report>::failure(decoded.reason());
+  if (!report) {
+    context_.event(Level::info, "bad_report", {{"why", report.reason()}});
+    return context_.reply(request, 400, Json{{"error", report.reason()}});
+  }
+  if (leadership_.leading()) {
+    if (!owner_ || ownerDue_) return context_.later(request);
+    auto answer = owner_->onReport(*report);
+    if (answer.status != 200) return context_.later(request);
+    return context_.reply(request, 200, std::move(answer.body));
+  }
+  misdirected(request, *report, body);
+}
+
+void Controller::misdirected(std::uint64_t request, const wire::Report& report, const std::string& body) {
+  const std::string& owner = leadership_.leader();
+  if (owner.empty() || owner == settings_.label || settings_.sibling(owner) == nullptr) return context_.later(request);
+  const auto sent = redirects_.find(report.host.text);
+  if (sent != redirects_.end() && sent->second.to == owner) {
+    // It was told where to go and is back: it can't reach the owner, but perhaps we can.
+    sent->second.at = context_.now;
+    const std::uint64_t number = nextRelay_++;
+    relays_[number] = RelayOut{request, context_.now + constants::kRelayTimeout};
+    context_.peerOut.push_back(PeerSend{owner, peer::Message{settings_.label, peer::Relay{number, body}}});
+    return;
+  }
+  redirects_[report.host.text] = Redirect{context_.now, owner};
+  context_.reply(request, 421, Json{{"foreman", owner}});
+}
+
+// --- peers -------------------------------------------------------------------------------------------------
+
+void Controller::onPeer(Time now, std::int64_t wallMs, const peer::Message& message) {
+  at(now, wallMs);
+  if (settings_.sibling(message.from) == nullptr) return;
+  if (const auto* relay = std::get_if<peer::Relay>(&message.what)) return onRelay(message.from, *relay);
+  if (const auto* answer = std::get_if<peer::Relayed>(&message.what)) return relayed(*answer);
+  const auto& progress = std::get<peer::Progress>(message.what);
+  if (progress.term < progressTerm_ || owner_) return;
+  progressTerm_ = progress.term;
+  for (const peer::JobProgress& shown : progress.jobs) {
+    if (jobs::Job* job = jobs_.find(shown.ref); job != nullptr && job->open()) {
+      job->shownDone = shown.done;
+      job->shownRunning = shown.running;
+    }
+  }
+}
+
+void Controller::onRelay(const std::string& from, const peer::Relay& relay) {
+  peer::Relayed answer{relay.number, 503, {}};
+  const auto decoded = wire::decodeBody(relay.report);
+  const auto report = decoded ? wire::decodeReport(*decoded) : wire::Result<wire::Report>::failure(decoded.reason());
+  if (report && owner_ && !ownerDue_) {
+    auto given = owner_->onReport(*report);
+    answer.status = given.status;
+    if (given.status == 200) answer.body = wire::encodeBody(given.body);
+  }
+  context_.peerOut.push_back(PeerSend{from, peer::Message{settings_.label, std::move(answer)}});
+}
+
+void Controller::relayed(const peer::Relayed& answer) {
+  const auto found = relays_.find(answer.number);
+  if (found == relays_.end()) return;
+  const std::uint64_t request = found->second.request;
+  relays_.erase(found);
+  const auto body = wire::decodeBody(answer.body);
+  if (answer.status != 200 || !body) return context_.later(request);
+  context_.reply(request, 200, *body);
+}
+
+void Controller::beat() {
+  nextBeat_ = context_.now + constants::kPeerBeat;
+  if (!owner_) return;
+  const peer::Progress progress = owner_->progress(++beats_ % kFullBeats == 0);
+  for (const config::Sibling& sibling : settings_.siblings)
+    context_.peerOut.push_back(PeerSend{sibling.label, peer::Message{settings_.label, progress}});
+}
+
+// --- machine types -----------------------------------------------------------------------------------------
+
+void Controller::fetchCatalog() {
+  // Until they are known once; later the owner's cloud client keeps them current.
+  if (context_.catalog || askingCatalog_ || context_.now < nextCatalog_) return;
+  askingCatalog_ = true;
+  wire::Call call;
+  call.to = wire::Service::cloud;
+  call.endpoint = settings_.cloudEndpoint;
+  call.method = "GET";
+  call.path = "/catalog";
+  call.timeout = constants::kCloudTimeout;
+  context_.calls.start(std::move(call), [this](const wire::CallResult& result) {
+    askingCatalog_ = false;
+    nextCatalog_ = context_.now + constants::kCatalogRetry;
+    auto catalog = wire::decodeCatalog(result.body);
+    if (result.ok() && catalog) {
+      context_.catalog = std::move(*catalog);
+      // Kept so that a controller that starts during the cloud's outage can still decide.
+      state::Transaction transaction;
+      transaction.writes.push_back({kCatalogKey, wire::encodeCatalog(*context_.catalog), std::nullopt});
+      context_.state.multi(context_.now, state::Urgency::rest, transaction, [](const auto&) {});
+      return;
+    }
+    context_.state.get(context_.now, state::Urgency::place, kCatalogKey, [this](const wire::CallResult& stored) {
+      const Json* value = wire::field(stored.body, "value");
+      if (!stored.ok() || value == nullptr || context_.catalog) return;
+      auto known = wire::decodeCatalog(*value);
+      if (known) {
+        context_.catalog = std::move(*known);
+      } else {
+        context_.event(Level::error, "bad_record", {{"key", kCatalogKey}, {"why", known.reason()}});
+      }
+    });
+  });
+}
+
+}  // namespace reachhoist::service
--- /dev/null
+++ b/src/service/controller.hpp
@@ -0,0 +1,86 @@
+// One controller: events and time in, actions out. No sockets, no clocks of its own.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "cluster/leadership.hpp"
+#include "service/context.hpp"
+#include "service/owner.hpp"
+#include "service/users.hpp"
+
+namespace reachhoist::service {
+
+struct Request {
+  std::uint64_t number = 0;
+  std::string method;
+  std::string target;
+  std::string body;
+};
+
+// What the controller wants done; whoever runs it does it and reports back.
+struct Actions {
+  std::vector<wire::Call> calls;
+  std::vector<Reply> replies;
+  std::vector<PeerSend> peers;
+};
+
+class Controller {
+ public:
+  Controller(const config::Settings& settings, std::uint64_t seed, Level level, Context::LogSink sink);
+  Controller(const Controller&) = delete;
+
+  void start(Time now, std::int64_t wallMs);
+  void onRequest(Time now, std::int64_t wallMs, const Request& request);
+  void onResult(Time now, std::int64_t wallMs, std::uint64_t call, const wire::CallResult& result);
+  void onPeer(Time now, std::int64_t wallMs, const peer::Message& message);
+  // To be called every constants::kTick.
+  void tick(Time now, std::int64_t wallMs);
+  Actions drain();
+
+  bool leading() const { return leadership_.leading(); }
+
+ private:
+  void at(Time now, std::int64_t wallMs);
+  void onJob(const std::string& key, const Json* value, std::uint64_t stamp);
+  void applied(jobs::JobTable::Change change, const std::string& ref);
+  void report(std::uint64_t request, const std::string& body);
+  void misdirected(std::uint64_t request, const wire::Report& report, const std::string& body);
+  void relayed(const peer::Relayed& relayed);
+  void onRelay(const std::string& from, const peer::Relay& relay);
+  void beat();
+  void fetchCatalog();
+
+  const config::Settings& settings_;
+  Context context_;
+  jobs::JobTable jobs_;
+  state::Feed jobFeed_;
+  cluster::Leadership leadership_;
+  Users users_;
+  std::unique_ptr<Owner> owner_;
+  std::uint64_t ownerTerm_ = 0;
+  std::uint64_t ownerStamp_ = 0;
+  bool ownerDue_ = false;
+  Time nextConfirm_{};
+  Time nextBeat_{};
+  int beats_ = 0;
+  std::uint64_t progressTerm_ = 0;
+
+  struct Redirect {
+    Time at{};
+    std::string to;
+  };
+  std::map<std::string, Redirect> redirects_;  // host -> when it was last sent to the owner
+  struct RelayOut {
+    std::uint64_t request = 0;
+    Time deadline{};
+  };
+  std::map<std::uint64_t, RelayOut> relays_;
+  std::uint64_t nextRelay_ = 1;
+
+  bool askingCatalog_ = false;
+  Time nextCatalog_{};
+};
+
+}  // namespace reachhoist::service
--- /dev/null
+++ b/src/service/owner.hpp
@@ -0,0 +1,151 @@
+// What a controller does while it owns the parts: workers, placement, completions, the fleet. Lives for one term
+// and loads all it needs to know from the state service first.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+
+#include "cloud/client.hpp"
+#include "cluster/leadership.hpp"
+#include "fleet/sizing.hpp"
+#include "jobs/jobs.hpp"
+#include "machines/machines.hpp"
+#include "placement/planner.hpp"
+#include "service/context.hpp"
+#include "state/feed.hpp"
+#include "state/transaction.hpp"
+
+namespace reachhoist::service {
+
+using machines::Attempt;
+using machines::AttemptPhase;
+using machines::Machine;
+using machines::MachinePhase;
+
+class Owner {
+ public:
+  // loading: reading jobs, completions and machines. acting: everything else.
+  enum class State { loading, acting };
+
+  Owner(Context& context, cluster::Leadership& leadership, state::Feed& jobFeed, jobs::JobTable& jobs,
+        std::uint64_t term, std::uint64_t partsStamp);
+  Owner(const Owner&) = delete;
+
+  void tick();
+  void onJobAccepted(jobs::Job& job);
+  void onJobEnded(jobs::Job& job);
+
+  struct ReportAnswer {
+    int status = 503;
+    Json body;
+  };
+  ReportAnswer onReport(const wire::Report& report);
+
+  // For display by the others: jobs whose counts changed since the last call, or all of them.
+  peer::Progress progress(bool all);
+  State state() const { return state_; }
+
+ private:
+  // --- owner.cpp: life, loading
+  void to(State next);
+  void load();
+  void loadPage(const std::string& prefix, const std::string& after);
+  void loaded();
+  void adoptRecord(const std::string& host, const Json& value, std::uint64_t stamp);
+  void resign(const char* why);
+  bool mayAnswer() const;
+  std::uint64_t batonOf(const Machine& machine) const { return cluster::baton(term_, machine.fence); }
+  std::vector<state::Condition> partConditions(const std::set<cluster::Part>& parts) const;
+  cluster::Part partOf(const Machine& machine) const;
+
+  // --- owner_workers.cpp: evidence and orders
+  enum class Source { report, direct };
+  void takeEvidence(Machine& machine, const wire::Report& report, Source source);
+  void takeLoad(Machine& machine, Attempt& attempt, const wire::LoadState& load);
+  void takeAbsence(Machine& machine, const wire::Report& report);
+  void newShift(Machine& machine, const wire::Report& report);
+  void release(Machine& machine, Attempt& attempt, const char* why);
+  void releaseAll(Machine& machine, const char* why);
+  void dropFree(Machine& machine);
+  void noteError(Machine& machine, Attempt& attempt);
+  void complete(const wire::TaskId& task);
+  bool durablyDone(const wire::TaskId& task);
+  void stop(Machine& machine, Attempt& attempt, double windDownS);
+  std::vector<wire::Order> ordersFor(Machine& machine, Source via, std::uint64_t tally);
+  void sendDirects();
+  void sendDirect(Machine& machine);
+  void onDirect(const std::string& host, std::uint64_t baton, std::uint64_t shift,
+                const std::vector<wire::Order>& orders, const wire::CallResult& result);
+  void watchSilence();
+  void useNotice(Machine& machine);
+  void setRunning(Attempt& attempt, AttemptPhase next);
+
+  // --- owner_rounds.cpp: completions, placement, records
+  void completionRound();
+  void onCompletions(const std::vector<std::pair<std::string, std::uint32_t>>& chunks,
+                     const std::vector<std::string>& finals, const state::Outcome& outcome);
+  void placementRound();
+  void onPlacements(const std::vector<std::string>& hosts, const state::Outcome& outcome);
+  void recordRound();
+  void refusedBy(const state::Outcome& outcome, const char* what);
+
+  // --- owner_fleet.cpp: renting, returning, sizing
+  void onRented(const cloud::PoolKey& pool, const std::vector<std::string>& hosts, std::size_t refused);
+  void onReturned(const std::vector<std::string>& hosts);
+  void onListed(const std::vector<wire::HostEntry>& hosts);
+  void describe(Machine& machine);
+  void retire(Machine& machine, const char* why);
+  void condemn(Machine& machine, const char* why);
+  void moveRetirements();
+  void sizeFleet();
+  fleet::FleetWorld fleetWorld();
+  void rent(const cloud::PoolKey& pool, int count, const char* why);
+  std::vector<Machine*> allMachines();
+
+  Context& context_;
+  cluster::Leadership& leadership_;
+  state::Feed& jobFeed_;
+  jobs::JobTable& jobs_;
+  std::uint64_t term_;
+  std::uint64_t partsStamp_;
+  State state_ = State::loading;
+  bool resigned_ = false;
+  Time electedAt_{};
+  Time actingSince_{};
+
+  int loadsOut_ = 0;
+  Time loadRetryAt_{};
+  std::set<std::string> loadsLeft_;  // prefixes still to read
+  struct DoneRecord {
+    std::string ref;
+    std::uint32_t chunk;
+    std::string hex;
+    std::uint64_t stamp;
+  };
+  std::vector<DoneRecord> doneRecords_;
+
+  machines::MachineTable machines_;
+  std::uint64_t attempts_ = 0;
+  state::Committer completions_;
+  state::Committer placements_;
+  state::Committer records_;
+  std::set<std::string> dirtyJobs_;  // with completions that are not durable
+  std::set<std::pair<std::string, std::uint32_t>> flyingChunks_;
+  std::set<std::string> flyingFinals_;
+  bool planDue_ = true;
+  Time nextPlan_{};
+  Time nextSilenceCheck_{};
+  std::vector<placement::Unmet> unmet_;
+  std::set<std::string> recordDeletes_;
+
+  std::unique_ptr<cloud::Client> cloud_;
+  fleet::Sizing sizing_;
+  std::map<cloud::PoolKey, Time> refusedUntil_;
+  Time nextShortfall_{};
+  std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> shown_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}  // namespace reachhoist::service
--- /dev/null
+++ b/src/service/owner_fleet.cpp
@@ -0,0 +1,167 @@
+// Renting, returning and sizing.
+#include <algorithm>
+
+#include "service/owner.hpp"
+
+namespace reachhoist::service {
+
+void Owner::describe(Machine& machine) {
+  if (!context_.catalog) return;
+  for (const wire::RigType& rig : *context_.catalog) {
+    if (rig.label != machine.rig) continue;
+    machine.total = rig.room;
+    machine.cacheGb = rig.cacheGb;
+    machine.pullGbPerS = rig.pullGbPerS;
+  }
+}
+
+void Owner::onRented(const cloud::PoolKey& pool, const std::vector<std::string>& hosts, std::size_t refused) {
+  for (const std::string& host : hosts) {
+    if (machines_.find(host) != nullptr) continue;  // its worker was faster than the answer
+    Machine& machine = machines_.add(host);
+    machine.rig = pool.rig;
+    machine.yard = pool.yard;
+    machine.loaners = pool.loaners;
+    machine.rentedAt = context_.now;
+    machine.lastHeard = context_.now;
+    machine.lastAnswered = context_.now;
+    describe(machine);
+  }
+  if (refused > 0) {
+    refusedUntil_[pool] = context_.now + constants::kRefusedPause;
+    if (hosts.empty()) sizing_.refused(pool);
+  }
+  context_.event(Level::info, "rented", {{"pool", pool.str()}, {"machines", hosts.size()}, {"refused", refused}});
+  planDue_ = true;
+}
+
+void Owner::onReturned(const std::vector<std::string>& hosts) {
+  for (const std::string& host : hosts) {
+    Machine* machine = machines_.find(host);
+    if (machine == nullptr) continue;
+    releaseAll(*machine, "machine gone");
+    machine->to(MachinePhase::gone, context_.now);
+    if (machine->stamp != 0) recordDeletes_.insert(machines::machineKey(host));
+    context_.event(Level::info, "machine_gone", {{"machine", host}, {"why", machine->returnReason}});
+    // A placement whose outcome is still open finds nothing left to launch, and that is right.
+    for (Attempt& attempt : machine->attempts) release(*machine, attempt, "machine gone");
+    machines_.remove(host);
+  }
+  planDue_ = true;
+}
+
+void Owner::onListed(const std::vector<wire::HostEntry>& hosts) {
+  for (const wire::HostEntry& entry : hosts) {
+    Machine* machine = machines_.find(entry.ref.text);
+    const double lagS = 2 * context_.settings.cloudListLagS;
+    if (machine == nullptr) {
+      // A list may show machines that we returned a moment ago; those are asked back once more, harmlessly.
+      Machine& stranger = machines_.add(entry.ref.text);
+      stranger.rig = entry.rig;
+      stranger.yard = entry.yard;
+      stranger.loaners = entry.loaners;
+      stranger.endpoint = entry.endpoint;
+      stranger.rentedAt = context_.now - wire::seconds(entry.ageS);
+      stranger.lastHeard = context_.now;
+      stranger.lastAnswered = electedAt_ + context_.settings.answerWindow();
+      describe(stranger);
+      machine = &stranger;
+    }
+    if (machine->endpoint.empty()) machine->endpoint = entry.endpoint;
+    if (entry.stage == wire::HostStage::failed && machine->phase != MachinePhase::returning &&
+        machine->phase != MachinePhase::gone) {
+      context_.event(Level::info, "machine_failed", {{"machine", entry.ref.text}});
+      releaseAll(*machine, "machine failed");
+      condemn(*machine, "failed");
+    } else if (machine->phase == MachinePhase::booting && entry.stage == wire::HostStage::running &&
+               wire::toSeconds(context_.now - machine->lastHeard) > lagS + 4 * context_.settings.reportS) {
+      condemn(*machine, "listed as running but silent");
+    }
+  }
+}
+
+void Owner::retire(Machine& machine, const char* why) {
+  if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::booting) return;
+  machine.returnReason = why;
+  machine.to(MachinePhase::draining, context_.now);
+  context_.event(Level::info, "draining", {{"machine", machine.host.text}, {"why", why}});
+  for (Attempt& attempt : machine.attempts) stop(machine, attempt, attempt.saves ? attempt.stowS + 1 : 0);
+}
+
+void Owner::condemn(Machine& machine, const char* why) {
+  if (machine.phase == MachinePhase::returning || machine.phase == MachinePhase::retiring) return;
+  machine.returnReason = why;
+  machine.to(MachinePhase::retiring, context_.now);
+  context_.event(Level::info, "condemned", {{"machine", machine.host.text}, {"why", why}});
+}
+
+void Owner::moveRetirements() {
+  for (auto& [host, machine] : machines_.all()) {
+    if (machine.phase == MachinePhase::draining && machine.attempts.empty()) {
+      machine.to(MachinePhase::retiring, context_.now);
+    } else if (machine.phase == MachinePhase::up && machine.recallAt && machine.attempts.empty()) {
+      retire(machine, "spot notice");
+    } else if (machine.phase == MachinePhase::booting) {
+      double bootS = 0;
+      if (context_.catalog) {
+        for (const wire::RigType& rig : *context_.catalog)
+          if (rig.label == machine.rig) bootS = rig.bootS;
+      }
+      const auto patience = std::max<wire::Duration>(constants::kBootPatienceLeast,
+                                                     wire::seconds(bootS * constants::kBootPatience));
+      if (context_.now - machine.rentedAt > patience) condemn(machine, "never came up");
+    }
+  }
+}
+
+fleet::FleetWorld Owner::fleetWorld() {
+  fleet::FleetWorld world{context_.settings, *context_.catalog, context_.now, context_.wallMs,
+                          allMachines(),     unmet_,            {},           {}};
+  std::erase_if(world.unmet, [](const placement::Unmet& unmet) { return !unmet.job->open(); });
+  std::erase_if(refusedUntil_, [this](const auto& entry) { return entry.second <= context_.now; });
+  for (const auto& [pool, until] : refusedUntil_) world.refused.insert(pool);
+  for (const auto& rig : *context_.catalog) {
+    for (const std::string& yard : rig.yards) {
+      for (const bool loaners : {false, true}) {
+        const cloud::PoolKey key{rig.label, yard, loaners};
+        if (const std::size_t count = cloud_->pending(key); count > 0) world.pending[key] = count;
+      }
+    }
+  }
+  return world;
+}
+
+void Owner::rent(const cloud::PoolKey& pool, int count, const char* why) {
+  context_.event(Level::info, "rent", {{"pool", pool.str()}, {"machines", count}, {"why", why}});
+  cloud_->rent(context_.now, pool, static_cast<std::size_t>(count));
+}
+
+void Owner::sizeFleet() {
+  if (!context_.catalog || !mayAnswer()) return;
+  // The machines that are up make themselves known first; else a new leader would rent everything again.
+  const auto settle = wire::seconds(context_.settings.reportS * 1.5 + 1);
+  if (context_.now - actingSince_ < settle && !machines_.all().empty()) return;
+  if (sizing_.due(context_.now)) {
+    const auto world = fleetWorld();
+    for (const fleet::Step& step : sizing_.round(context_.now, fleet::viewPools(world))) {
+      context_.event(Level::info, "step",
+                     {{"pool", step.pool.str()}, {"units", step.units}, {"machines", step.machines}, {"why", step.why}});
+      if (step.machines > 0) rent(step.pool, step.machines, "step");
+      int left = -step.machines;
+      for (auto& [host, machine] : machines_.all()) {
+        if (left <= 0) break;
+        if (machine.phase != MachinePhase::up || !machine.attempts.empty() || machine.recordBusy) continue;
+        if (cloud::PoolKey{machine.rig, machine.yard, machine.loaners} != step.pool) continue;
+        retire(machine, "step down");
+        --left;
+      }
+    }
+  }
+  if (context_.now < nextShortfall_) return;
+  nextShortfall_ = context_.now + constants::kShortfallEvery;
+  const auto world = fleetWorld();
+  for (const fleet::Rental& rental : fleet::shortfall(world)) rent(rental.pool, rental.count, "shortfall");
+  for (Machine* machine : fleet::idleReturns(world)) retire(*machine, "idle");
+}
+
+}  // namespace reachhoist::service
--- /dev/null
+++ b/src/service/owner_workers.cpp
@@ -0,0 +1,390 @@
+// Evidence from workers, and the orders that follow from it.
+#include <algorithm>
+
+#include "service/owner.hpp"
+
+namespace reachhoist::service {
+
+namespace {
+// A report that may be answered must not be one that was held back on its way and speaks of an earlier world.
+bool newer(const Machine& machine, const wire::Report& report) {
+  return report.shift > machine.shift || (report.shift == machine.shift && report.tally > machine.tally);
+}
+}  // namespace
+
+Owner::ReportAnswer Owner::onReport(const wire::Report& report) {
+  if (state_ != State::acting || resigned_ || !mayAnswer()) return {};
+  Machine* machine = machines_.find(report.host.text);
+  if (machine == nullptr) {
+    // Nobody expected it: a late rental, or one of an earlier leader. It is adopted like any other.
+    machine = &machines_.add(report.host.text);
+    machine->rentedAt = context_.now;
+    machine->lastAnswered = electedAt_ + context_.settings.answerWindow();
+    machine->lastHeard = context_.now;
+  }
+  if (!newer(*machine, report)) return {};
+  if (machine->phase == MachinePhase::returning || machine->phase == MachinePhase::gone) return {};
+  machine->endpoint = report.endpoint;
+  machine->rig = report.rig;
+  machine->yard = report.yard;
+  machine->loaners = report.loaners;
+  describe(*machine);
+  if (machine->phase == MachinePhase::booting) {
+    machine->to(MachinePhase::up, context_.now);
+    context_.event(Level::info, "machine_up",
+                   {{"machine", report.host.text},
+                    {"rig", report.rig},
+                    {"yard", report.yard},
+                    {"after_s", wire::toSeconds(context_.now - machine->rentedAt)}});
+  }
+  takeEvidence(*machine, report, Source::report);
+  machine->lastHeard = context_.now;
+  machine->lastAnswered = std::max(machine->lastAnswered, context_.now);
+  const auto orders = ordersFor(*machine, Source::report, report.tally);
+  planDue_ = true;
+  return ReportAnswer{200, wire::encodeOrders(batonOf(*machine), orders)};
+}
+
+void Owner::takeEvidence(Machine& machine, const wire::Report& report, Source source) {
+  if (!newer(machine, report)) return;
+  if (report.shift > machine.shift) newShift(machine, report);
+  machine.tally = report.tally;
+  machine.workerBaton = std::max(machine.workerBaton, report.baton);
+  machine.lastHeard = context_.now;
+  for (Attempt& attempt : machine.attempts) {
+    // Once the worker has seen a higher baton, the old command can only get a 409.
+    if (attempt.openBaton && machine.workerBaton > *attempt.openBaton) attempt.openBaton.reset();
+  }
+  if (report.recallS && !machine.recallAt) {
+    machine.recallAt = context_.now + wire::seconds(*report.recallS);
+    context_.event(Level::info, "spot_notice", {{"machine", machine.host.text}, {"in_s", *report.recallS}});
+    useNotice(machine);
+  }
+  for (const wire::LoadState& load : report.loads) {
+    Attempt* attempt = machine.find(load.load, load.attempt);
+    if (attempt == nullptr) {
+      // Every launch had its record first, so this is an attempt that was released: it must not go on.
+      Attempt stray;
+      stray.task = load.load;
+      stray.number = load.attempt;
+      stray.inherited = true;
+      stray.stopWanted = true;
+      stray.phase = AttemptPhase::recorded;
+      stray.since = stray.placedAt = context_.now;
+      machine.attempts.push_back(std::move(stray));
+      attempt = &machine.attempts.back();
+      context_.event(Level::info, "stray_attempt", {{"machine", machine.host.text}, {"task", load.load.str()}});
+    }
+    takeLoad(machine, *attempt, load);
+  }
+  if (source == Source::report) takeAbsence(machine, report);
+  dropFree(machine);
+  if (!machine.empty()) machine.idleSince = context_.now;
+}
+
+void Owner::newShift(Machine& machine, const wire::Report& report) {
+  if (machine.shift != 0 && !machine.attempts.empty())
+    context_.event(Level::info, "lease_lost", {{"machine", machine.host.text}, {"attempts", machine.attempts.size()}});
+  // The worker has killed and forgotten everything of the session before.
+  if (machine.shift != 0) releaseAll(machine, "lease lost");
+  machine.shift = report.shift;
+  machine.crates = {};
+}
+
+void Owner::setRunning(Attempt& attempt, AttemptPhase next) {
+  const bool was = attempt.onMachine();
+  attempt.to(next, context_.now);
+  const bool is = attempt.onMachine();
+  if (was == is) return;
+  jobs::Job* job = jobs_.find(attempt.task.job.text);
+  if (job == nullptr || job->tasks.empty()) return;
+  if (is) {
+    ++job->running;
+  } else if (job->running > 0) {
+    --job->running;
+  }
+}
+
+void Owner::takeLoad(Machine& machine, Attempt& attempt, const wire::LoadState& load) {
+  switch (load.stage) {
+    case wire::LoadStage::pulling:
+    case wire::LoadStage::waiting:
+      setRunning(attempt, AttemptPhase::pulling);
+      return;
+    case wire::LoadStage::running:
+      if (attempt.phase != AttemptPhase::running && context_.logs(Level::debug))
+        context_.event(Level::debug, "running",
+                       {{"task", attempt.task.str()}, {"machine", machine.host.text},
+                        {"after_s", wire::toSeconds(context_.now - attempt.placedAt)}});
+      setRunning(attempt, AttemptPhase::running);
+      if (!attempt.crate.empty()) machine.noteCrate(attempt.crate, attempt.sizeGb);
+      return;
+    case wire::LoadStage::saving:
+      setRunning(attempt, AttemptPhase::saving);
+      return;
+    case wire::LoadStage::ended:
+      break;
+  }
+  if (attempt.phase == AttemptPhase::ended) return;
+  const bool wasPlaced = attempt.phase != AttemptPhase::free;
+  setRunning(attempt, AttemptPhase::ended);
+  attempt.cause = load.cause;
+  if (!wasPlaced) return;
+  jobs::Job* job = jobs_.find(attempt.task.job.text);
+  const bool known = job != nullptr && job->open() && attempt.task.index < job->tasks.size();
+  if (load.cause == wire::Cause::done && !attempt.daemon) {
+    machine.errorsInRow = 0;
+    machine.errorJobs.clear();
+    if (known) complete(attempt.task);
+    return;
+  }
+  if (load.cause == wire::Cause::error || load.cause == wire::Cause::unknown) noteError(machine, attempt);
+  if (context_.logs(Level::debug))
+    context_.event(Level::debug, "ended",
+                   {{"task", attempt.task.str()}, {"machine", machine.host.text}, {"cause", static_cast<int>(load.cause)}});
+  if (known && job->tasks[attempt.task.index] == jobs::TaskPhase::placed)
+    job->to(attempt.task.index, jobs::TaskPhase::waiting, context_.now);
+  planDue_ = true;
+}
+
+void Owner::takeAbsence(Machine& machine, const wire::Report& report) {
+  // Under a new term a report proves absence only once the worker has seen our token: before that it may be a
+  // late copy of one that an earlier owner got.
+  if (report.baton < cluster::baton(term_, 0)) return;
+  for (Attempt& attempt : machine.attempts) {
+    const bool present = std::any_of(report.loads.begin(), report.loads.end(), [&](const wire::LoadState& load) {
+      return load.attempt == attempt.number && load.load == attempt.task;
+    });
+    if (present || attempt.phase == AttemptPhase::planned) continue;
+    if (attempt.directs > 0 || attempt.openBaton) continue;  // a launch may still take effect
+    const bool seen = attempt.phase != AttemptPhase::recorded;
+    if (seen || attempt.inherited || attempt.stopWanted)
+      release(machine, attempt, seen ? "reaped" : "absent");
+  }
+}
+
+void Owner::release(Machine& machine, Attempt& attempt, const char* why) {
+  if (attempt.phase == AttemptPhase::free) return;
+  const bool wasEnded = attempt.phase == AttemptPhase::ended;
+  setRunning(attempt, AttemptPhase::free);
+  machine.recordStale = true;
+  if (wasEnded) return;  // its task has moved on already
+  jobs::Job* job = jobs_.find(attempt.task.job.text);
+  if (job == nullptr || !job->open() || attempt.task.index >= job->tasks.size()) return;
+  if (job->tasks[attempt.task.index] == jobs::TaskPhase::placed)
+    job->to(attempt.task.index, jobs::TaskPhase::waiting, context_.now);
+  context_.event(Level::info, "released",
+                 {{"task", attempt.task.str()}, {"machine", machine.host.text}, {"why", why}});
+  planDue_ = true;
+}
+
+void Owner::releaseAll(Machine& machine, const char* why) {
+  for (Attempt& attempt : machine.attempts) {
+    // What is still being written has never been launched; its transaction decides what becomes of it.
+    if (attempt.phase != AttemptPhase::planned) release(machine, attempt, why);
+  }
+  dropFree(machine);
+}
+
+void Owner::dropFree(Machine& machine) {
+  std::erase_if(machine.attempts, [](const Attempt& attempt) { return attempt.phase == AttemptPhase::free; });
+}
+
+void Owner::noteError(Machine& machine, Attempt& attempt) {
+  const std::string& ref = attempt.task.job.text;
+  context_.event(Level::info, "task_failed", {{"task", attempt.task.str()}, {"machine", machine.host.text}});
+  jobs::Job* job = jobs_.find(ref);
+  if (job != nullptr && job->open()) {
+    ++job->errors;
+    job->errorHosts.insert(machine.host.text);
+    // A job that fails wherever it goes is itself wrong: it is tried ever more rarely, and no machine is blamed.
+    const bool wrong = job->errorHosts.size() >= static_cast<std::size_t>(constants::kWrongJobMachines);
+    if (wrong) {
+      auto pause = constants::kJobErrorBackoff * (1 << std::min(job->errors, 4));
+      job->heldUntil = context_.now + std::min<std::chrono::milliseconds>(pause, constants::kJobErrorBackoffMost);
+      job->errorHosts.clear();
+      return;
+    }
+  }
+  ++machine.errorsInRow;
+  if (std::find(machine.errorJobs.begin(), machine.errorJobs.end(), ref) == machine.errorJobs.end())
+    machine.errorJobs.push_back(ref);
+  if (machine.errorsInRow >= constants::kSickErrors &&
+      static_cast<int>(machine.errorJobs.size()) >= constants::kSickJobs && !machine.sick) {
+    machine.sick = true;
+    retire(machine, "sick");
+  }
+}
+
+void Owner::complete(const wire::TaskId& task) {
+  jobs::Job& job = *jobs_.find(task.job.text);
+  if (job.tasks[task.index] == jobs::TaskPhase::completed) return;
+  job.to(task.index, jobs::TaskPhase::completed, context_.now);
+  job.dirtyChunks.insert(task.index / constants::kDoneChunk);
+  dirtyJobs_.insert(task.job.text);
+  planDue_ = true;
+}
+
+bool Owner::durablyDone(const wire::TaskId& task) {
+  jobs::Job* job = jobs_.find(task.job.text);
+  if (job == nullptr || !job->open()) return true;
+  const std::uint32_t chunk = task.index / constants::kDoneChunk;
+  return !job->dirtyChunks.contains(chunk) && !flyingChunks_.contains({task.job.text, chunk}) &&
+         !flyingFinals_.contains(task.job.text) && !job->finished();
+}
+
+void Owner::stop(Machine& machine, Attempt& attempt, double windDownS) {
+  if (attempt.phase == AttemptPhase::planned || attempt.phase == AttemptPhase::ended) {
+    attempt.stopWanted = true;
+    return;
+  }
+  const bool harder = attempt.stopWanted && windDownS < attempt.windDownS;
+  if (attempt.stopWanted && !harder) return;
+  attempt.stopWanted = true;
+  attempt.windDownS = windDownS;
+  attempt.stopSent = false;
+  machine.ordersDue = true;
+}
+
+std::vector<wire::Order> Owner::ordersFor(Machine& machine, Source via, std::uint64_t tally) {
+  std::vector<wire::Order> reaps;
+  std::vector<wire::Order> rest;
+  (void)tally;
+  for (Attempt& attempt : machine.attempts) {
+    wire::Order order{wire::Verb::launch, attempt.task, attempt.number, 0};
+    switch (attempt.phase) {
+      case AttemptPhase::planned:
+      case AttemptPhase::free:
+        break;
+      case AttemptPhase::recorded:
+        // Never repeated for what may have ended and been reaped under an earlier owner.
+        if (attempt.inherited && !attempt.stopWanted) break;
+        if (attempt.stopWanted) {
+          order.verb = wire::Verb::halt;
+          rest.push_back(order);
+        } else if (attempt.directs == 0) {
+          rest.push_back(order);
+        }
+        break;
+      case AttemptPhase::pulling:
+      case AttemptPhase::running:
+      case AttemptPhase::saving:
+        if (!attempt.stopWanted) break;
+        if (attempt.stopSent && via == Source::direct) break;
+        if (attempt.phase == AttemptPhase::saving && attempt.windDownS > 0) break;
+        order.verb = wire::Verb::halt;
+        order.windDownS = attempt.windDownS;
+        attempt.stopSent = true;
+        rest.push_back(order);
+        break;
+      case AttemptPhase::ended:
+        // A launch that may still arrive would start the attempt anew once the worker has forgotten it.
+        if (attempt.directs > 0 || attempt.openBaton) break;
+        if (attempt.cause == wire::Cause::done && !attempt.daemon && !durablyDone(attempt.task)) break;
+        order.verb = wire::Verb::reap;
+        reaps.push_back(order);
+        break;
+    }
+  }
+  reaps.insert(reaps.end(), rest.begin(), rest.end());
+  return reaps;
+}
+
+void Owner::sendDirects() {
+  for (auto& [host, machine] : machines_.all())
+    if (machine.ordersDue && !machine.direct && context_.now >= machine.nextDirect) sendDirect(machine);
+}
+
+void Owner::sendDirect(Machine& machine) {
+  machine.ordersDue = false;
+  if (machine.endpoint.empty() || machine.shift == 0 || !mayAnswer()) return;
+  if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::draining) return;
+  const auto orders = ordersFor(machine, Source::direct, 0);
+  if (orders.empty()) return;
+  for (const wire::Order& order : orders)
+    if (order.verb == wire::Verb::launch) ++machine.find(order.load, order.attempt)->directs;
+  machine.direct = true;
+  wire::Call call;
+  call.to = wire::Service::worker;
+  call.endpoint = machine.endpoint;
+  call.method = "POST";
+  call.path = "/commands";
+  const std::uint64_t baton = batonOf(machine);
+  call.body = wire::encodeOrders(baton, orders);
+  call.body["shift"] = machine.shift;
+  call.timeout = constants::kWorkerTimeout;
+  context_.calls.start(std::move(call), [this, host = machine.host.text, baton, shift = machine.shift, orders,
+                                         alive = std::weak_ptr<int>(alive_)](const wire::CallResult& result) {
+    if (alive.lock()) onDirect(host, baton, shift, orders, result);
+  });
+}
+
+void Owner::onDirect(const std::string& host, std::uint64_t baton, std::uint64_t shift,
+                     const std::vector<wire::Order>& orders, const wire::CallResult& result) {
+  Machine* machine = machines_.find(host);
+  if (machine == nullptr) return;
+  machine->direct = false;
+  const bool answered = result.status != 0;
+  for (const wire::Order& order : orders) {
+    if (order.verb != wire::Verb::launch) continue;
+    Attempt* attempt = machine->find(order.load, order.attempt);
+    if (attempt == nullptr) continue;
+    --attempt->directs;
+    // It may be carried out minutes later, as long as token and session match.
+    if (!answered && result.sent && machine->shift == shift) attempt->openBaton = baton;
+  }
+  if (!answered) {
+    if (result.sent && machine->fence == (baton & ((1U << constants::kBatonTermShift) - 1))) ++machine->fence;
+    machine->nextDirect = context_.now + constants::kWorkerTimeout;
+    context_.event(Level::info, "no_answer", {{"machine", host}, {"sent", result.sent ? "yes" : "no"}});
+    return;
+  }
+  if (auto report = wire::decodeReport(result.body); report && report->host.text == host)
+    takeEvidence(*machine, *report, Source::direct);
+  // Reports and direct answers alone bring the room that stops have made.
+  planDue_ = true;
+}
+
+void Owner::watchSilence() {
+  if (context_.now < nextSilenceCheck_) return;
+  nextSilenceCheck_ = context_.now + constants::kTick * 10;
+  const config::Settings& settings = context_.settings;
+  const auto silentFor = wire::seconds(settings.reportS * constants::kSilentReports + 2);
+  int up = 0;
+  int silent = 0;
+  for (const auto& [host, machine] : machines_.all()) {
+    if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::draining) continue;
+    ++up;
+    if (context_.now - machine.lastHeard > silentFor) ++silent;
+  }
+  // Many silent at once are more likely cut off than dead: then only the lease decides.
+  const bool cut = silent > 2 && silent * 3 > up;
+  const bool settled = context_.now - actingSince_ > silentFor && mayAnswer();
+  for (auto& [host, machine] : machines_.all()) {
+    if (machine.phase == MachinePhase::gone) continue;
+    const bool over = context_.now - machine.lastAnswered > settings.leaseOver();
+    if (over && machine.phase != MachinePhase::booting &&
+        std::any_of(machine.attempts.begin(), machine.attempts.end(),
+                    [](const Attempt& a) { return a.phase != AttemptPhase::planned; })) {
+      context_.event(Level::info, "lease_over", {{"machine", host}});
+      releaseAll(machine, "lease over");
+    }
+    if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::draining) continue;
+    if (settled && context_.now - machine.lastHeard > silentFor && (over || !cut)) condemn(machine, "silent");
+  }
+}
+
+void Owner::useNotice(Machine& machine) {
+  const double leftS = wire::toSeconds(*machine.recallAt - context_.now);
+  for (Attempt& attempt : machine.attempts) {
+    if (!attempt.holdsRoom() || attempt.phase == AttemptPhase::planned) continue;
+    const jobs::Job* job = jobs_.find(attempt.task.job.text);
+    const double expectS = job != nullptr ? job->spec.expectS : 0;
+    const double ranS =
+        attempt.phase == AttemptPhase::running ? wire::toSeconds(context_.now - attempt.runningSince) : 0;
+    const bool finishes = !attempt.daemon && attempt.phase == AttemptPhase::running && expectS - ranS < leftS;
+    if (!finishes) stop(machine, attempt, attempt.saves ? attempt.stowS + 1 : 0);
+  }
+}
+
+}  // namespace reachhoist::service
--- /dev/null
+++ b/src/service/runtime.cpp
@@ -0,0 +1,91 @@
+#include "service/runtime.hpp"
+
+#include <random>
+
+namespace reachhoist::service {
+
+Runtime::Runtime(const config::Settings& settings, Level level, Context::LogSink sink)
+    : settings_(settings),
+      controller_(settings, std::random_device{}(), level, std::move(sink)),
+      server_(reactor_, settings.maxConnections - constants::kReservedSockets,
+              [this](std::uint64_t number, net::HttpMessage request) {
+                controller_.onRequest(reactor_.now(), wallMs(),
+                                      Request{number, std::move(request.method), std::move(request.target),
+                                              std::move(request.body)});
+                act();
+              }),
+      client_(reactor_),
+      peers_(reactor_, [this](const std::string& frame) {
+        if (const auto message = peer::decode(frame)) {
+          controller_.onPeer(reactor_.now(), wallMs(), *message);
+          act();
+        }
+      }) {}
+
+std::int64_t Runtime::wallMs() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+std::string Runtime::run() {
+  net::Address bind;
+  net::Address peerListen;
+  std::string error;
+  if (!net::Address::parse(settings_.bind, bind)) return "bind: not an address";
+  if (!net::Address::parse(settings_.peerListen, peerListen)) return "peer_listen: not an address";
+  if (!server_.listen(bind, error)) return "bind: " + error;
+  if (!peers_.listen(peerListen, error)) return "peer_listen: " + error;
+  for (const config::Sibling& sibling : settings_.siblings) {
+    net::Address address;
+    if (!net::Address::parse(sibling.endpoint, address)) return "siblings.endpoint: not an address";
+    links_[sibling.label] = std::make_unique<net::FrameSender>(reactor_, address);
+  }
+  controller_.start(reactor_.now(), wallMs());
+  act();
+  net::spawn(tickLoop());
+  reactor_.run();
+}
+
+net::Task<void> Runtime::tickLoop() {
+  for (;;) {
+    co_await reactor_.sleepUntil(reactor_.now() + constants::kTick);
+    controller_.tick(reactor_.now(), wallMs());
+    act();
+  }
+}
+
+void Runtime::act() {
+  Actions actions = controller_.drain();
+  for (Reply& reply : actions.replies) {
+    std::string body = reply.body.is_null() ? std::string() : wire::encodeBody(reply.body);
+    server_.answer(reply.request, net::HttpAnswer{reply.status, std::move(body), reply.retryAfterS});
+  }
+  for (PeerSend& send : actions.peers) {
+    if (const auto found = links_.find(send.to); found != links_.end())
+      found->second->send(peer::encode(send.message));
+  }
+  for (wire::Call& call : actions.calls) net::spawn(carryOut(std::move(call)));
+}
+
+net::Task<void> Runtime::carryOut(wire::Call call) {
+  std::string body = call.body.is_null() ? std::string() : wire::encodeBody(call.body);
+  const net::ClientResult answer =
+      co_await client_.call(call.endpoint, call.method, call.path, std::move(body), call.timeout);
+  wire::CallResult result;
+  result.sent = answer.sent;
+  if (answer.status != 0) {
+    result.status = answer.status;
+    if (!answer.body.empty()) {
+      auto decoded = wire::decodeBody(answer.body);
+      if (decoded) {
+        result.body = std::move(*decoded);
+      } else if (answer.status == 200) {
+        result.status = 0;  // a yes that can't be read is no answer
+      }
+    }
+  }
+  controller_.onResult(reactor_.now(), wallMs(), call.number, result);
+  act();
+}
+
+}  // namespace reachhoist::service
--- /dev/null
+++ b/src/service/users.cpp
@@ -0,0 +1,228 @@
+#include "service/users.hpp"
+
+#include <algorithm>
+
+namespace reachhoist::service {
+
+namespace {
+constexpr int kFlyingMost = 3;     // acceptances under way at once; beyond that they share transactions
+constexpr int kAbortTries = 4;     // each lost race means that the job has changed in between
+constexpr std::size_t kBatchBytes = 48 * 1024;  // of one transaction, which may hold 64 KiB
+constexpr std::chrono::milliseconds kPatience{1500};  // a submission is answered by then: 503 if need be
+}  // namespace
+
+Users::Users(Context& context, state::Feed& feed, jobs::JobTable& jobs, Applied applied)
+    : context_(context), feed_(feed), jobs_(jobs), applied_(std::move(applied)) {}
+
+Json Users::shown(const jobs::Job& job) const {
+  std::uint32_t done = job.tasks.empty() ? job.shownDone : job.completed;
+  std::uint32_t running = job.tasks.empty() ? job.shownRunning : job.running;
+  if (job.phase == jobs::JobPhase::done) done = job.spec.loads;
+  if (!job.open()) running = 0;
+  return Json{{"ref", job.spec.ref.text}, {"stage", wire::name(job.shownStage())}, {"done", done}, {"running", running}};
+}
+
+Json Users::brief(const jobs::Job& job) const {
+  return Json{{"ref", job.spec.ref.text}, {"stage", wire::name(job.shownStage())}};
+}
+
+void Users::query(std::uint64_t request, const std::string& ref) {
+  if (!wire::validJobRef(ref)) return context_.reply(request, 404, Json{{"error", "no such job"}});
+  // A final stage never changes, so memory will do; anything else needs a read begun after the request came.
+  if (const jobs::Job* job = jobs_.find(ref); job != nullptr && !job->open())
+    return context_.reply(request, 200, shown(*job));
+  feed_.confirm(context_.now, [this, request, ref](bool ok) {
+    if (!ok) return context_.later(request);
+    const jobs::Job* job = jobs_.find(ref);
+    if (job == nullptr) return context_.reply(request, 404, Json{{"error", "no such job"}});
+    context_.reply(request, 200, shown(*job));
+  });
+}
+
+void Users::answerKnown(std::uint64_t request, const std::string& ref) {
+  if (const jobs::Job* job = jobs_.find(ref); job != nullptr && !job->open())
+    return context_.reply(request, 200, brief(*job));
+  feed_.confirm(context_.now, [this, request, ref](bool ok) {
+    const jobs::Job* job = jobs_.find(ref);
+    if (!ok || job == nullptr) return context_.later(request);
+    context_.reply(request, 200, brief(*job));
+  });
+}
+
+std::optional<std::string> Users::cannotRun(const wire::JobSpec& spec) const {
+  const config::Team* team = context_.settings.team(spec.crew);
+  if (team == nullptr) return "unknown team";
+  const bool fits = std::any_of(context_.catalog->begin(), context_.catalog->end(), [&](const wire::RigType& rig) {
+    if (!spec.allowsRig(rig.label) || !spec.each.fitsIn(rig.room)) return false;
+    return spec.yard ? std::find(rig.yards.begin(), rig.yards.end(), *spec.yard) != rig.yards.end()
+                     : !rig.yards.empty();
+  });
+  if (!fits) return "a task fits no allowed machine type";
+  const double atOnce = spec.shape == wire::Shape::daemon ? spec.loads : 1;
+  if ((team->cpusMax > 0 && spec.each.vcpus * atOnce > team->cpusMax + 1e-6) ||
+      (team->gpusMax > 0 && spec.each.accelerators * atOnce > team->gpusMax + 1e-6))
+    return "needs more than the team's limit";
+  return std::nullopt;
+}
+
+void Users::submit(std::uint64_t request, const std::string& body) {
+  const auto decoded = wire::decodeBody(body);
+  if (!decoded || !decoded->is_object())
+    return context_.reply(request, 400, Json{{"error", decoded ? "body is not a map" : decoded.reason()}});
+  const std::string ref = wire::textField(*decoded, "ref").value_or("");
+  auto spec = wire::decodeJob(*decoded);
+  if (!wire::validJobRef(ref)) return context_.reply(request, 400, Json{{"error", spec.reason()}});
+  // A job once accepted stays so, whatever its body would be judged to be now.
+  if (jobs_.find(ref) != nullptr) return answerKnown(request, ref);
+  if (!feed_.ready() || !context_.catalog) return context_.later(request);
+  std::optional<std::string> why;
+  if (spec) why = cannotRun(*spec);
+  if (spec && !why) {
+    if (spec->rigs) {
+      // Types that don't exist can't matter, and a record must fit the state service's value limit.
+      std::erase_if(*spec->rigs, [this](const std::string& label) {
+        return std::none_of(context_.catalog->begin(), context_.catalog->end(),
+                            [&](const wire::RigType& rig) { return rig.label == label; });
+      });
+    }
+    Submission& submission = submissions_[ref];
+    const bool fresh = submission.requests.empty();
+    submission.requests.push_back(request);
+    if (fresh) {
+      submission.spec = std::move(*spec);
+      submission.deadline = context_.now + kPatience;
+      queue_.push_back(ref);
+    }
+    return sendSubmissions();
+  }
+  const int status = spec ? 422 : 400;
+  const std::string reason = spec ? *why : spec.reason();
+  feed_.confirm(context_.now, [this, request, ref, status, reason](bool ok) {
+    if (!ok) return context_.later(request);
+    if (jobs_.find(ref) != nullptr) return answerKnown(request, ref);
+    context_.reply(request, status, Json{{"error", reason}});
+  });
+}
+
+void Users::sendSubmissions() {
+  while (!queue_.empty() && flying_ < kFlyingMost && context_.now >= resumeAt_) {
+    // What has gathered while others were under way goes out together.
+    state::Transaction transaction;
+    std::vector<std::string> refs;
+    std::vector<Json> records;
+    std::size_t bytes = 0;
+    while (!queue_.empty() && refs.size() < context_.settings.stateTxnOps && bytes < kBatchBytes) {
+      const std::string ref = queue_.front();
+      queue_.pop_front();
+      const auto found = submissions_.find(ref);
+      if (found == submissions_.end()) continue;
+      jobs::Job job;
+      job.spec = found->second.spec;
+      job.acceptedMs = context_.wallMs;
+      Json record = jobs::encodeOpen(job);
+      bytes += record.dump().size();
+      found->second.sent = true;
+      transaction.conditions.push_back({jobs::jobKey(ref), 0});
+      transaction.writes.push_back({jobs::jobKey(ref), record, std::nullopt});
+      refs.push_back(ref);
+      records.push_back(std::move(record));
+    }
+    if (refs.empty()) return;
+    ++flying_;
+    context_.state.multi(context_.now, state::Urgency::accept, transaction,
+                         [this, refs, records](const wire::CallResult& result) {
+                           --flying_;
+                           onSubmissions(refs, records, result);
+                           sendSubmissions();
+                         });
+  }
+}
+
+void Users::onSubmissions(const std::vector<std::string>& refs, const std::vector<Json>& records,
+                          const wire::CallResult& result) {
+  if (result.ok()) {
+    const std::uint64_t stamp = wire::countField(result.body, "ledger").value_or(0);
+    for (std::size_t i = 0; i < refs.size(); ++i) {
+      const auto change = jobs_.apply(refs[i], records[i], stamp);
+      auto submission = submissions_.extract(refs[i]);
+      const jobs::Job& job = *jobs_.find(refs[i]);
+      if (!submission.empty())
+        for (const std::uint64_t request : submission.mapped().requests) context_.reply(request, 201, brief(job));
+      applied_(change, refs[i]);
+    }
+    return;
+  }
+  if (result.status == 409) {
+    // Some were accepted before, perhaps by another controller; the others go out again without them.
+    const Json* failed = wire::field(result.body, "failed");
+    for (const std::string& ref : refs) {
+      const bool known = failed != nullptr && failed->is_array() &&
+                         std::find(failed->begin(), failed->end(), Json(jobs::jobKey(ref))) != failed->end();
+      if (!known) {
+        queue_.push_front(ref);
+        continue;
+      }
+      auto submission = submissions_.extract(ref);
+      if (submission.empty()) continue;
+      feed_.confirm(context_.now, [this, ref, requests = submission.mapped().requests](bool) {
+        for (const std::uint64_t request : requests) answerKnown(request, ref);
+      });
+    }
+    return;
+  }
+  if (result.status == 429) {
+    resumeAt_ = context_.now + 2 * constants::kTick;
+    for (const std::string& ref : refs) {
+      if (submissions_[ref].deadline <= resumeAt_) {
+        giveUp(ref);
+      } else {
+        queue_.push_front(ref);
+      }
+    }
+    return;
+  }
+  // Not carried out, or nobody knows: the user asks again, and the condition sorts out which it was.
+  for (const std::string& ref : refs) giveUp(ref);
+}
+
+void Users::giveUp(const std::string& ref) {
+  auto submission = submissions_.extract(ref);
+  if (submission.empty()) return;
+  for (const std::uint64_t request : submission.mapped().requests) context_.later(request);
+}
+
+void Users::abort(std::uint64_t request, const std::string& ref) {
+  if (!wire::validJobRef(ref)) return context_.reply(request, 404, Json{{"error", "no such job"}});
+  tryAbort(request, ref, kAbortTries);
+}
+
+void Users::tryAbort(std::uint64_t request, const std::string& ref, int tries) {
+  const jobs::Job* job = jobs_.find(ref);
+  if (job != nullptr && !job->open()) return context_.reply(request, 200, brief(*job));
+  if (tries == 0) return context_.later(request);
+  const auto catchUp = [this, request, ref, tries] {
+    feed_.confirm(context_.now, [this, request, ref, tries](bool ok) {
+      if (!ok) return context_.later(request);
+      if (jobs_.find(ref) == nullptr) return context_.reply(request, 404, Json{{"error", "no such job"}});
+      tryAbort(request, ref, tries - 1);
+    });
+  };
+  if (job == nullptr) return catchUp();
+  state::Transaction transaction;
+  transaction.conditions.push_back({jobs::jobKey(ref), job->stamp});
+  const Json record = jobs::encodeFinal(*job, jobs::JobPhase::cancelled);
+  transaction.writes.push_back({jobs::jobKey(ref), record, std::nullopt});
+  context_.state.multi(context_.now, state::Urgency::accept, transaction,
+                       [this, request, ref, record, catchUp](const wire::CallResult& result) {
+                         if (result.status == 409) return catchUp();
+                         if (!result.ok()) return context_.later(request);
+                         const auto change =
+                             jobs_.apply(ref, record, wire::countField(result.body, "ledger").value_or(0));
+                         context_.reply(request, 200, brief(*jobs_.find(ref)));
+                         applied_(change, ref);
+                       });
+}
+
+void Users::tick() { sendSubmissions(); }
+
+}  // namespace reachhoist::service
--- /dev/null
+++ b/src/state/client.cpp
@@ -0,0 +1,111 @@
+#include "state/client.hpp"
+
+namespace reachhoist::state {
+
+namespace {
+constexpr int kPageItems = 200;  // a page is parsed in one go: small pages keep memory and pauses small
+}
+
+Json encode(const Transaction& transaction) {
+  Json conditions = Json::array();
+  for (const Condition& condition : transaction.conditions)
+    conditions.push_back(Json{{"key", condition.key}, {"stamp", condition.stamp}});
+  Json writes = Json::array();
+  for (const Write& write : transaction.writes) {
+    if (!write.value) {
+      writes.push_back(Json{{"delete", write.key}});
+      continue;
+    }
+    Json entry{{"write", write.key}, {"value", *write.value}};
+    if (write.permit) entry["permit"] = *write.permit;
+    writes.push_back(std::move(entry));
+  }
+  return Json{{"if", std::move(conditions)}, {"apply", std::move(writes)}};
+}
+
+Client::Client(wire::Calls& calls, const config::Settings& settings)
+    : calls_(calls), settings_(settings), requests_(1, 1), writes_(1, 1) {
+  setLeading(false);
+}
+
+void Client::setLeading(bool leading) {
+  const bool alone = settings_.siblings.empty();
+  const double share = (alone ? 1.0 : leading ? constants::kLeaderShare : constants::kFollowerShare) *
+                       constants::kBudgetMargin;
+  requests_.set(settings_.stateRps * share, settings_.stateRps * share);
+  writes_.set(settings_.stateWriteRps * share, settings_.stateWriteRps * share);
+}
+
+void Client::multi(Time now, Urgency urgency, const Transaction& transaction, Done done) {
+  submit(now, urgency,
+         Queued{{}, "POST", "/multi", encode(transaction), static_cast<double>(transaction.writes.size()),
+                constants::kStateTimeout, std::move(done)});
+}
+
+void Client::get(Time now, Urgency urgency, const std::string& key, Done done) {
+  submit(now, urgency, Queued{{}, "GET", "/keys/" + key, {}, 0, constants::kStateTimeout, std::move(done)});
+}
+
+void Client::list(Time now, Urgency urgency, const std::string& prefix, const std::string& after, Done done) {
+  std::string path = "/keys?under=" + prefix + "&limit=" + std::to_string(kPageItems);
+  if (!after.empty()) path += "&after=" + after;
+  submit(now, urgency, Queued{{}, "GET", std::move(path), {}, 0, constants::kStateLoadTimeout, std::move(done)});
+}
+
+void Client::changes(Time now, Urgency urgency, const std::string& prefix, std::uint64_t after,
+                     std::chrono::milliseconds block, Done done) {
+  std::string path = "/changes?under=" + prefix + "&after=" + std::to_string(after) +
+                     "&blockMs=" + std::to_string(block.count());
+  const auto timeout = block.count() > 0 ? block + constants::kWatchSlack : constants::kStateTimeout;
+  submit(now, urgency, Queued{{}, "GET", std::move(path), {}, 0, timeout, std::move(done)});
+}
+
+void Client::newLease(Time now, std::chrono::milliseconds ttl, Done done) {
+  submit(now, Urgency::lease,
+         Queued{{}, "POST", "/leases", Json{{"ttlMs", ttl.count()}}, 0, constants::kStateTimeout, std::move(done)});
+}
+
+void Client::touchLease(Time now, std::uint64_t permit, Done done) {
+  submit(now, Urgency::lease,
+         Queued{{}, "POST", "/leases/" + std::to_string(permit) + "/touch", Json::object(), 0,
+                constants::kStateTimeout, std::move(done)});
+}
+
+void Client::submit(Time now, Urgency urgency, Queued request) {
+  request.deadline = now + request.timeout;
+  queues_[static_cast<std::size_t>(urgency)].push_back(std::move(request));
+  pump(now);
+}
+
+bool Client::send(Time now, Urgency urgency, Queued& request) {
+  const bool mayOverdraw = urgency == Urgency::lease || urgency == Urgency::accept;
+  if (!mayOverdraw && (!requests_.affords(now, 1) || (request.writes > 0 && !writes_.affords(now, request.writes))))
+    return false;
+  requests_.take(now, 1);
+  if (request.writes > 0) writes_.take(now, request.writes);
+  wire::Call call;
+  call.to = wire::Service::state;
+  call.endpoint = settings_.stateEndpoint;
+  call.method = std::move(request.method);
+  call.path = std::move(request.path);
+  call.body = std::move(request.body);
+  call.timeout = request.timeout;
+  calls_.start(std::move(call), std::move(request.done));
+  return true;
+}
+
+void Client::pump(Time now) {
+  std::vector<Done> late;
+  for (std::size_t i = 0; i < queues_.size(); ++i) {
+    auto& queue = queues_[i];
+    while (!queue.empty() && send(now, static_cast<Urgency>(i), queue.front())) queue.pop_front();
+    while (!queue.empty() && queue.front().deadline <= now) {
+      late.push_back(std::move(queue.front().done));
+      queue.pop_front();
+    }
+    if (!queue.empty()) break;  // what is less urgent waits behind it
+  }
+  for (Done& done : late) done(wire::CallResult{});
+}
+
+}  // namespace reachhoist::state
--- /dev/null
+++ b/src/state/feed.cpp
@@ -0,0 +1,132 @@
+#include "state/feed.hpp"
+
+namespace reachhoist::state {
+
+Feed::Feed(Client& client, std::string prefix, Urgency urgency, wire::Duration confirmGap, Handlers handlers)
+    : client_(client),
+      prefix_(std::move(prefix)),
+      urgency_(urgency),
+      confirmGap_(confirmGap),
+      handlers_(std::move(handlers)) {}
+
+void Feed::start(Time now) {
+  now_ = now;
+  to(State::listing);
+  after_.clear();
+  firstPage_ = true;
+  list();
+}
+
+void Feed::tick(Time now) {
+  now_ = now;
+  if (now >= retryAt_) {
+    if (state_ == State::listing && !calling_) list();
+    if (state_ == State::following && !watching_) watch();
+  }
+  if (!waiting_.empty()) sendConfirm();
+}
+
+void Feed::list() {
+  calling_ = true;
+  const Time sent = now_;
+  client_.list(now_, urgency_, prefix_, after_,
+               [this, sent, alive = std::weak_ptr<int>(alive_)](const wire::CallResult& result) {
+                 if (!alive.lock()) return;
+                 calling_ = false;
+                 if (firstPage_ && result.ok()) confirmedAt_ = std::max(confirmedAt_, sent);
+                 onPage(result);
+               });
+}
+
+void Feed::onPage(const wire::CallResult& result) {
+  const Json* pairs = wire::field(result.body, "pairs");
+  const auto ledger = wire::countField(result.body, "ledger");
+  if (!result.ok() || pairs == nullptr || !pairs->is_array() || !ledger) {
+    retryAt_ = now_ + constants::kStateBackoff;
+    return;
+  }
+  if (firstPage_) {
+    // Changes during the listing are replayed from the first page's revision on.
+    ledger_ = *ledger;
+    if (handlers_.listingBegins) handlers_.listingBegins();
+  }
+  firstPage_ = false;
+  for (const Json& pair : *pairs) {
+    const auto key = wire::textField(pair, "key");
+    const Json* value = wire::field(pair, "value");
+    if (!key || value == nullptr) continue;
+    after_ = *key;
+    handlers_.entry(*key, value, wire::countField(pair, "stamp").value_or(0));
+  }
+  if (wire::flagField(result.body, "more").value_or(false) && !pairs->empty()) return list();
+  everListed_ = true;
+  to(State::following);
+  if (handlers_.caughtUp) handlers_.caughtUp();
+  if (!watching_) watch();
+}
+
+bool Feed::take(const Json& answer) {
+  const Json* news = wire::field(answer, "news");
+  const auto ledger = wire::countField(answer, "ledger");
+  if (news == nullptr || !news->is_array() || !ledger) return false;
+  const std::uint64_t known = ledger_;
+  ledger_ = std::max(ledger_, *ledger);
+  for (const Json& item : *news) {
+    const std::uint64_t stamp = wire::countField(item, "stamp").value_or(0);
+    if (stamp <= known) continue;
+    if (const auto written = wire::textField(item, "write")) {
+      if (const Json* value = wire::field(item, "value")) handlers_.entry(*written, value, stamp);
+    } else if (const auto deleted = wire::textField(item, "delete")) {
+      handlers_.entry(*deleted, nullptr, stamp);
+    }
+  }
+  if (handlers_.caughtUp) handlers_.caughtUp();
+  return true;
+}
+
+void Feed::watch() {
+  watching_ = true;
+  client_.changes(now_, urgency_, prefix_, ledger_, constants::kWatchBlock,
+                  [this, alive = std::weak_ptr<int>(alive_)](const wire::CallResult& result) {
+                    if (!alive.lock()) return;
+                    watching_ = false;
+                    if (state_ != State::following) return;
+                    if (result.status == 410) return start(now_);
+                    if (!result.ok() || !take(result.body)) {
+                      retryAt_ = now_ + constants::kStateBackoff;
+                      return;
+                    }
+                    watch();
+                  });
+}
+
+void Feed::confirm(Time now, Confirmed done) {
+  now_ = now;
+  waiting_.push_back(std::move(done));
+  sendConfirm();
+}
+
+void Feed::failWaiting() {
+  for (const Confirmed& done : std::exchange(waiting_, {})) done(false);
+}
+
+void Feed::sendConfirm() {
+  if (confirming_) return;
+  if (state_ != State::following) return failWaiting();
+  if (now_ < nextConfirm_) return;
+  confirming_ = true;
+  nextConfirm_ = now_ + confirmGap_;
+  const Time sent = now_;
+  client_.changes(now_, Urgency::lease, prefix_, ledger_, std::chrono::milliseconds(0),
+                  [this, sent, batch = std::exchange(waiting_, {}),
+                   alive = std::weak_ptr<int>(alive_)](const wire::CallResult& result) {
+                    if (!alive.lock()) return;
+                    confirming_ = false;
+                    if (result.status == 410) start(now_);
+                    const bool ok = result.ok() && take(result.body);
+                    if (ok) confirmedAt_ = std::max(confirmedAt_, sent);
+                    for (const Confirmed& done : batch) done(ok);
+                  });
+}
+
+}  // namespace reachhoist::state
--- /dev/null
+++ b/src/state/feed.hpp
@@ -0,0 +1,64 @@
+// Follows all keys below a prefix: lists them once, then watches. A confirming read serves everyone who was
+// waiting when it was sent, so that its batch widens with the load while its rate stays bounded.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "state/client.hpp"
+
+namespace reachhoist::state {
+
+class Feed {
+ public:
+  enum class State { stopped, listing, following };
+  struct Handlers {
+    // A null value: the key was deleted.
+    std::function<void(const std::string& key, const Json* value, std::uint64_t stamp)> entry;
+    std::function<void()> listingBegins;
+    std::function<void()> caughtUp;  // after a listing, and after each batch of changes
+  };
+  using Confirmed = std::function<void(bool ok)>;
+
+  Feed(Client& client, std::string prefix, Urgency urgency, wire::Duration confirmGap, Handlers handlers);
+  Feed(const Feed&) = delete;
+
+  void start(Time now);
+  void tick(Time now);
+  // Calls back once a read begun after this moment has brought in everything before it, or with false.
+  void confirm(Time now, Confirmed done);
+  bool ready() const { return everListed_; }
+  // Everything that had happened by this time is known.
+  Time confirmedAt() const { return confirmedAt_; }
+
+ private:
+  void to(State next) { state_ = next; }
+  void list();
+  void onPage(const wire::CallResult& result);
+  void watch();
+  void sendConfirm();
+  void failWaiting();
+  bool take(const Json& answer);
+
+  Client& client_;
+  std::string prefix_;
+  Urgency urgency_;
+  wire::Duration confirmGap_;
+  Handlers handlers_;
+  State state_ = State::stopped;
+  bool everListed_ = false;
+  std::string after_;         // last key of the listing so far
+  std::uint64_t ledger_ = 0;  // everything up to here has been taken
+  bool firstPage_ = true;
+  bool watching_ = false;
+  bool calling_ = false;  // a listing call is out
+  Time now_{};
+  Time retryAt_{};
+  Time confirmedAt_{};
+  Time nextConfirm_{};
+  bool confirming_ = false;
+  std::vector<Confirmed> waiting_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}  // namespace reachhoist::state
--- /dev/null
+++ b/src/wire/codec.cpp
@@ -0,0 +1,440 @@
+#include "wire/codec.hpp"
+
+#include <cmath>
+
+namespace reachhoist::wire {
+
+namespace {
+
+constexpr std::size_t kMaxDepth = 16;           // levels; the protocol's own messages use at most 5
+constexpr std::size_t kMaxText = 200;           // bytes of a name: the state service's longest key
+constexpr std::uint32_t kMaxLoads = 100'000;    // tasks of a job, from the protocol
+constexpr std::size_t kMaxRigs = 100;           // entries of a job's `rigs`
+constexpr double kMaxAmount = 1e12;             // amounts above this are taken for garbage
+
+// Walks the heads of CBOR items without building anything: the recursive decoder behind it must never see
+// nesting that exhausts the stack, or a declared length that the body does not hold.
+class Walker {
+ public:
+  explicit Walker(std::string_view bytes) : bytes_(bytes) {}
+
+  const char* check() {
+    std::vector<std::uint64_t> open;  // items still expected on each level
+    open.push_back(1);
+    while (!open.empty()) {
+      if (open.back() == 0) {
+        open.pop_back();
+        continue;
+      }
+      --open.back();
+      if (const char* wrong = item(open)) return wrong;
+      if (open.size() > kMaxDepth) return "nested too deeply";
+    }
+    return at_ == bytes_.size() ? nullptr : "trailing bytes";
+  }
+
+ private:
+  const char* item(std::vector<std::uint64_t>& open) {
+    if (at_ >= bytes_.size()) return "body ends early";
+    const auto head = static_cast<unsigned char>(bytes_[at_++]);
+    const unsigned major = head >> 5U;
+    const unsigned minor = head & 31U;
+    if (minor > 27) return "indefinite lengths are not taken";
+    std::uint64_t value = minor;
+    if (minor >= 24) {
+      const std::size_t width = std::size_t{1} << (minor - 24);
+      if (bytes_.size() - at_ < width) return "body ends early";
+      value = 0;
+      for (std::size_t i = 0; i < width; ++i) value = value << 8U | static_cast<unsigned char>(bytes_[at_++]);
+    }
+    const std::uint64_t left = bytes_.size() - at_;
+    switch (major) {
+      case 0:
+      case 1: return nullptr;
+      case 2: return "byte strings are not taken";
+      case 3:
+        if (value > left) return "declared length beyond the body";
+        at_ += value;
+        return nullptr;
+      case 4:
+        if (value > left) return "declared length beyond the body";
+        open.push_back(value);
+        return nullptr;
+      case 5:
+        if (value > left / 2) return "declared length beyond the body";
+        open.push_back(2 * value);
+        return nullptr;
+      case 6: return "tags are not taken";
+      default: return minor < 20 || minor == 24 ? "unknown simple value" : nullptr;
+    }
+  }
+
+  std::string_view bytes_;
+  std::size_t at_ = 0;
+};
+
+// Collects the first complaint about a map's fields.
+class Fields {
+ public:
+  explicit Fields(const Json& map) : map_(map) {}
+
+  void text(const char* key, std::string& out, bool mayBeEmpty = false) {
+    const auto value = textField(map_, key);
+    if (!value || (value->empty() && !mayBeEmpty) || value->size() > kMaxText) return complain(key);
+    out = *value;
+  }
+  void amount(const char* key, double& out) {
+    const auto value = amountField(map_, key);
+    if (!value) return complain(key);
+    out = *value;
+  }
+  void count(const char* key, std::uint64_t& out) {
+    const auto value = countField(map_, key);
+    if (!value) return complain(key);
+    out = *value;
+  }
+  void flag(const char* key, bool& out) {
+    const auto value = flagField(map_, key);
+    if (!value) return complain(key);
+    out = *value;
+  }
+  void optionalAmount(const char* key, std::optional<double>& out) {
+    if (!present(key)) return;
+    double value = 0;
+    amount(key, value);
+    out = value;
+  }
+  bool present(const char* key) const {
+    const Json* found = field(map_, key);
+    return found != nullptr && !found->is_null();
+  }
+  void complain(const char* key) {
+    if (reason_.empty()) reason_ = std::string("field '") + key + "' is missing or invalid";
+  }
+  const std::string& reason() const { return reason_; }
+  bool ok() const { return reason_.empty(); }
+
+ private:
+  const Json& map_;
+  std::string reason_;
+};
+
+std::optional<LoadStage> loadStage(const std::string& text) {
+  if (text == "pulling") return LoadStage::pulling;
+  if (text == "waiting") return LoadStage::waiting;
+  if (text == "running") return LoadStage::running;
+  if (text == "saving") return LoadStage::saving;
+  if (text == "ended") return LoadStage::ended;
+  return std::nullopt;
+}
+
+std::string_view name(LoadStage stage) {
+  switch (stage) {
+    case LoadStage::pulling: return "pulling";
+    case LoadStage::waiting: return "waiting";
+    case LoadStage::running: return "running";
+    case LoadStage::saving: return "saving";
+    case LoadStage::ended: return "ended";
+  }
+  return "ended";
+}
+
+constexpr std::pair<Cause, std::string_view> kCauses[] = {
+    {Cause::done, "done"},     {Cause::halted, "halted"}, {Cause::error, "error"},
+    {Cause::noRoom, "no_room"}, {Cause::inUse, "in_use"},  {Cause::unknown, "unknown"}};
+
+// An ended task with a cause of a later protocol counts as failed: it ended, and not with `done`.
+Cause cause(const std::string& text) {
+  for (const auto& [value, label] : kCauses)
+    if (label == text) return value;
+  return Cause::error;
+}
+
+std::string_view name(Cause value) {
+  for (const auto& [known, label] : kCauses)
+    if (known == value) return label;
+  return "error";
+}
+
+std::string_view name(Verb verb) {
+  switch (verb) {
+    case Verb::launch: return "launch";
+    case Verb::halt: return "halt";
+    case Verb::reap: return "reap";
+  }
+  return "halt";
+}
+
+}  // namespace
+
+Result<Json> decodeBody(std::string_view bytes) {
+  if (const char* wrong = Walker(bytes).check()) return Result<Json>::failure(wrong);
+  Json body = Json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  if (body.is_discarded()) return Result<Json>::failure("not CBOR");
+  return body;
+}
+
+std::string encodeBody(const Json& body) {
+  std::string out;
+  Json::to_cbor(body, out);
+  return out;
+}
+
+const Json* field(const Json& map, const char* key) {
+  if (!map.is_object()) return nullptr;
+  const auto found = map.find(key);
+  return found == map.end() ? nullptr : &*found;
+}
+
+std::optional<std::string> textField(const Json& map, const char* key) {
+  const Json* found = field(map, key);
+  if (found == nullptr || !found->is_string()) return std::nullopt;
+  return found->get<std::string>();
+}
+
+std::optional<std::uint64_t> countField(const Json& map, const char* key) {
+  const Json* found = field(map, key);
+  if (found == nullptr) return std::nullopt;
+  if (found->is_number_unsigned()) return found->get<std::uint64_t>();
+  if (found->is_number_integer() && found->get<std::int64_t>() >= 0) return found->get<std::uint64_t>();
+  return std::nullopt;
+}
+
+std::optional<double> amountField(const Json& map, const char* key) {
+  const Json* found = field(map, key);
+  if (found == nullptr || !found->is_number()) return std::nullopt;
+  const double value = found->get<double>();
+  if (!std::isfinite(value) || value < 0 || value > kMaxAmount) return std::nullopt;
+  return value;
+}
+
+std::optional<bool> flagField(const Json& map, const char* key) {
+  const Json* found = field(map, key);
+  if (found == nullptr || !found->is_boolean()) return std::nullopt;
+  return found->get<bool>();
+}
+
+Result<JobSpec> decodeJob(const Json& body) {
+  if (!body.is_object()) return Result<JobSpec>::failure("body is not a map");
+  JobSpec job;
+  Fields fields(body);
+  std::string shape;
+  std::string rank;
+  std::uint64_t loads = 0;
+  fields.text("ref", job.ref.text);
+  if (fields.ok() && !validJobRef(job.ref.text)) fields.complain("ref");
+  fields.text("lane", job.lane);
+  fields.text("crew", job.crew);
+  fields.text("shape", shape);
+  fields.text("rank", rank);
+  fields.count("loads", loads);
+  fields.amount("vcpus", job.each.vcpus);
+  fields.amount("accelerators", job.each.accelerators);
+  fields.amount("memoryGb", job.each.memoryGb);
+  fields.flag("oneZone", job.oneZone);
+  fields.flag("apart", job.apart);
+  fields.flag("loaners", job.loaners);
+  fields.text("crate", job.crate);
+  fields.amount("sizeGb", job.sizeGb);
+  fields.amount("expectS", job.expectS);
+  fields.amount("stowEveryS", job.stowEveryS);
+  fields.amount("stowS", job.stowS);
+  fields.optionalAmount("dueS", job.dueS);
+  if (fields.present("yard")) {
+    job.yard.emplace();
+    fields.text("yard", *job.yard);
+  }
+  if (fields.present("rigs")) {
+    const Json& rigs = *field(body, "rigs");
+    if (!rigs.is_array() || rigs.size() > kMaxRigs) {
+      fields.complain("rigs");
+    } else {
+      job.rigs.emplace();
+      for (const Json& rig : rigs) {
+        if (!rig.is_string() || rig.get_ref<const std::string&>().size() > kMaxText) {
+          fields.complain("rigs");
+          break;
+        }
+        job.rigs->push_back(rig.get<std::string>());
+      }
+    }
+  }
+  if (loads < 1 || loads > kMaxLoads) fields.complain("loads");
+  job.loads = static_cast<std::uint32_t>(loads);
+  if (shape == "sweep") {
+    job.shape = Shape::sweep;
+  } else if (shape == "daemon") {
+    job.shape = Shape::daemon;
+  } else {
+    fields.complain("shape");
+  }
+  bool known = false;
+  for (const Rank value : {Rank::best_effort, Rank::standard, Rank::high, Rank::prod}) {
+    if (rank == name(value)) {
+      job.rank = value;
+      known = true;
+    }
+  }
+  if (!known) fields.complain("rank");
+  if (!fields.ok()) return Result<JobSpec>::failure(fields.reason());
+  return job;
+}
+
+Json encodeJob(const JobSpec& job) {
+  Json out{{"ref", job.ref.text},
+           {"lane", job.lane},
+           {"crew", job.crew},
+           {"shape", name(job.shape)},
+           {"rank", name(job.rank)},
+           {"loads", job.loads},
+           {"vcpus", job.each.vcpus},
+           {"accelerators", job.each.accelerators},
+           {"memoryGb", job.each.memoryGb},
+           {"oneZone", job.oneZone},
+           {"apart", job.apart},
+           {"loaners", job.loaners},
+           {"crate", job.crate},
+           {"sizeGb", job.sizeGb},
+           {"expectS", job.expectS},
+           {"stowEveryS", job.stowEveryS},
+           {"stowS", job.stowS}};
+  if (job.rigs) out["rigs"] = *job.rigs;
+  if (job.yard) out["yard"] = *job.yard;
+  if (job.dueS) out["dueS"] = *job.dueS;
+  return out;
+}
+
+Result<Report> decodeReport(const Json& body) {
+  if (!body.is_object()) return Result<Report>::failure("body is not a map");
+  Report report;
+  Fields fields(body);
+  fields.text("host", report.host.text);
+  fields.text("endpoint", report.endpoint);
+  fields.text("rig", report.rig);
+  fields.text("yard", report.yard);
+  fields.flag("loaners", report.loaners);
+  fields.count("shift", report.shift);
+  fields.count("tally", report.tally);
+  fields.count("baton", report.baton);
+  fields.optionalAmount("recallS", report.recallS);
+  const Json* loads = field(body, "loads");
+  if (loads == nullptr || !loads->is_array()) {
+    fields.complain("loads");
+  } else {
+    for (const Json& entry : *loads) {
+      LoadState load;
+      const auto id = parseTaskId(textField(entry, "load").value_or(""));
+      const auto attempt = countField(entry, "try");
+      const auto stage = loadStage(textField(entry, "stage").value_or(""));
+      if (!id || !attempt || !stage) {
+        fields.complain("loads");
+        break;
+      }
+      load.load = *id;
+      load.attempt = *attempt;
+      load.stage = *stage;
+      if (load.stage == LoadStage::ended) load.cause = cause(textField(entry, "cause").value_or(""));
+      load.stored = flagField(entry, "stored").value_or(false);
+      report.loads.push_back(std::move(load));
+    }
+  }
+  if (!fields.ok()) return Result<Report>::failure(fields.reason());
+  return report;
+}
+
+Json encodeReport(const Report& report) {
+  Json loads = Json::array();
+  for (const LoadState& load : report.loads) {
+    Json entry{{"load", load.load.str()}, {"try", load.attempt}, {"stage", name(load.stage)}};
+    if (load.stage == LoadStage::ended) entry["cause"] = name(load.cause);
+    if (load.stored) entry["stored"] = true;
+    loads.push_back(std::move(entry));
+  }
+  Json out{{"host", report.host.text}, {"endpoint", report.endpoint}, {"rig", report.rig},
+           {"yard", report.yard},      {"loaners", report.loaners},   {"shift", report.shift},
+           {"tally", report.tally},    {"baton", report.baton},       {"loads", std::move(loads)}};
+  if (report.recallS) out["recallS"] = *report.recallS;
+  return out;
+}
+
+Json encodeOrders(std::uint64_t baton, const std::vector<Order>& orders) {
+  Json list = Json::array();
+  for (const Order& order : orders) {
+    Json entry{{"verb", name(order.verb)}, {"load", order.load.str()}, {"try", order.attempt}};
+    if (order.verb == Verb::halt) entry["windDownS"] = order.windDownS;
+    list.push_back(std::move(entry));
+  }
+  return Json{{"baton", baton}, {"orders", std::move(list)}};
+}
+
+Result<std::vector<RigType>> decodeCatalog(const Json& body) {
+  const Json* rigs = field(body, "rigs");
+  if (rigs == nullptr || !rigs->is_array()) return Result<std::vector<RigType>>::failure("no list 'rigs'");
+  std::vector<RigType> out;
+  for (const Json& entry : *rigs) {
+    RigType rig;
+    Fields fields(entry);
+    fields.text("label", rig.label);
+    fields.amount("vcpus", rig.room.vcpus);
+    fields.amount("accelerators", rig.room.accelerators);
+    fields.amount("memoryGb", rig.room.memoryGb);
+    fields.amount("cacheGb", rig.cacheGb);
+    fields.amount("pullGbPerS", rig.pullGbPerS);
+    fields.amount("rate", rig.rate);
+    fields.amount("marketPrice", rig.marketPrice);
+    fields.amount("bootS", rig.bootS);
+    const Json* yards = field(entry, "yards");
+    if (yards == nullptr || !yards->is_array()) {
+      fields.complain("yards");
+    } else {
+      for (const Json& yard : *yards)
+        if (yard.is_string()) rig.yards.push_back(yard.get<std::string>());
+    }
+    if (!fields.ok()) return Result<std::vector<RigType>>::failure(fields.reason());
+    out.push_back(std::move(rig));
+  }
+  return out;
+}
+
+Json encodeCatalog(const std::vector<RigType>& rigs) {
+  Json list = Json::array();
+  for (const RigType& rig : rigs) {
+    list.push_back(Json{{"label", rig.label},
+                        {"vcpus", rig.room.vcpus},
+                        {"accelerators", rig.room.accelerators},
+                        {"memoryGb", rig.room.memoryGb},
+                        {"cacheGb", rig.cacheGb},
+                        {"pullGbPerS", rig.pullGbPerS},
+                        {"rate", rig.rate},
+                        {"marketPrice", rig.marketPrice},
+                        {"bootS", rig.bootS},
+                        {"yards", rig.yards}});
+  }
+  return Json{{"rigs", std::move(list)}};
+}
+
+Result<HostEntry> decodeHost(const Json& body) {
+  HostEntry host;
+  Fields fields(body);
+  std::string stage;
+  fields.text("ref", host.ref.text);
+  fields.text("endpoint", host.endpoint, true);
+  fields.text("rig", host.rig);
+  fields.text("yard", host.yard);
+  fields.flag("loaners", host.loaners);
+  fields.text("stage", stage);
+  host.ageS = amountField(body, "ageS").value_or(0);
+  if (stage == "starting") {
+    host.stage = HostStage::starting;
+  } else if (stage == "running") {
+    host.stage = HostStage::running;
+  } else if (stage == "failed") {
+    host.stage = HostStage::failed;
+  } else {
+    fields.complain("stage");
+  }
+  if (!fields.ok()) return Result<HostEntry>::failure(fields.reason());
+  return host;
+}
+
+}  // namespace reachhoist::wire
--- /dev/null
+++ b/src/wire/types.cpp
@@ -0,0 +1,76 @@
+#include "wire/types.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace reachhoist::wire {
+
+namespace {
+constexpr std::string_view kJobPrefix = "job-";
+constexpr std::size_t kMaxRefDigits = 18;
+constexpr double kRoundingSlack = 1e-6;
+}  // namespace
+
+bool validJobRef(std::string_view text) {
+  if (!text.starts_with(kJobPrefix)) return false;
+  text.remove_prefix(kJobPrefix.size());
+  return !text.empty() && text.size() <= kMaxRefDigits &&
+         std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+std::optional<TaskId> parseTaskId(std::string_view text) {
+  const auto slash = text.find('/');
+  if (slash == std::string_view::npos || !validJobRef(text.substr(0, slash))) return std::nullopt;
+  const auto digits = text.substr(slash + 1);
+  TaskId id{JobRef{std::string(text.substr(0, slash))}, 0};
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), id.index);
+  if (error != std::errc{} || end != digits.data() + digits.size()) return std::nullopt;
+  return id;
+}
+
+std::string_view name(Shape shape) { return shape == Shape::sweep ? "sweep" : "daemon"; }
+
+std::string_view name(Rank rank) {
+  switch (rank) {
+    case Rank::best_effort: return "best_effort";
+    case Rank::standard: return "standard";
+    case Rank::high: return "high";
+    case Rank::prod: return "prod";
+  }
+  return "standard";
+}
+
+std::string_view name(Stage stage) {
+  switch (stage) {
+    case Stage::pending: return "pending";
+    case Stage::running: return "running";
+    case Stage::done: return "done";
+    case Stage::cancelled: return "cancelled";
+  }
+  return "pending";
+}
+
+Resources& Resources::operator+=(const Resources& other) {
+  vcpus += other.vcpus;
+  accelerators += other.accelerators;
+  memoryGb += other.memoryGb;
+  return *this;
+}
+
+Resources& Resources::operator-=(const Resources& other) {
+  vcpus -= other.vcpus;
+  accelerators -= other.accelerators;
+  memoryGb -= other.memoryGb;
+  return *this;
+}
+
+bool Resources::fitsIn(const Resources& room) const {
+  return vcpus <= room.vcpus + kRoundingSlack && accelerators <= room.accelerators + kRoundingSlack &&
+         memoryGb <= room.memoryGb + kRoundingSlack;
+}
+
+bool JobSpec::allowsRig(std::string_view rig) const {
+  return !rigs || std::find(rigs->begin(), rigs->end(), rig) != rigs->end();
+}
+
+}  // namespace reachhoist::wire
--- /dev/null
+++ b/src/wire/types.hpp
@@ -0,0 +1,128 @@
+// The messages of the service's interfaces, as values. No I/O here: clients may use this package too.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace reachhoist::wire {
+
+// Names of things that are all text on the wire are told apart by type.
+template <class Tag>
+struct Name {
+  std::string text;
+  auto operator<=>(const Name&) const = default;
+  bool empty() const { return text.empty(); }
+};
+using JobRef = Name<struct JobRefTag>;
+using HostName = Name<struct HostNameTag>;
+
+struct TaskId {
+  JobRef job;
+  std::uint32_t index = 0;
+  auto operator<=>(const TaskId&) const = default;
+  std::string str() const { return job.text + "/" + std::to_string(index); }
+};
+std::optional<TaskId> parseTaskId(std::string_view text);
+bool validJobRef(std::string_view text);
+
+enum class Shape { sweep, daemon };
+enum class Rank { best_effort, standard, high, prod };
+enum class Stage { pending, running, done, cancelled };
+std::string_view name(Shape shape);
+std::string_view name(Rank rank);
+std::string_view name(Stage stage);
+inline bool isFinal(Stage stage) { return stage == Stage::done || stage == Stage::cancelled; }
+
+// What one task takes of its machine.
+struct Resources {
+  double vcpus = 0;
+  double accelerators = 0;
+  double memoryGb = 0;
+
+  Resources& operator+=(const Resources& other);
+  Resources& operator-=(const Resources& other);
+  bool fitsIn(const Resources& room) const;
+};
+
+struct JobSpec {
+  JobRef ref;
+  std::string lane;
+  std::string crew;
+  Shape shape = Shape::sweep;
+  Rank rank = Rank::standard;
+  std::uint32_t loads = 1;
+  Resources each;
+  std::optional<std::vector<std::string>> rigs;
+  std::optional<std::string> yard;
+  bool oneZone = false;
+  bool apart = false;
+  bool loaners = false;
+  std::string crate;
+  double sizeGb = 0;
+  double expectS = 0;
+  double stowEveryS = 0;
+  double stowS = 0;
+  std::optional<double> dueS;
+
+  bool allowsRig(std::string_view rig) const;
+};
+
+enum class LoadStage { pulling, waiting, running, saving, ended };
+enum class Cause { none, done, halted, error, noRoom, inUse, unknown };
+
+struct LoadState {
+  TaskId load;
+  std::uint64_t attempt = 0;
+  LoadStage stage = LoadStage::pulling;
+  Cause cause = Cause::none;
+  bool stored = false;
+};
+
+struct Report {
+  HostName host;
+  std::string endpoint;
+  std::string rig;
+  std::string yard;
+  bool loaners = false;
+  std::uint64_t shift = 0;
+  std::uint64_t tally = 0;
+  std::uint64_t baton = 0;
+  std::optional<double> recallS;
+  std::vector<LoadState> loads;
+};
+
+enum class Verb { launch, halt, reap };
+struct Order {
+  Verb verb = Verb::launch;
+  TaskId load;
+  std::uint64_t attempt = 0;
+  double windDownS = 0;
+};
+
+struct RigType {
+  std::string label;
+  Resources room;
+  double cacheGb = 0;
+  double pullGbPerS = 1;
+  double rate = 0;
+  double marketPrice = 0;
+  double bootS = 0;
+  std::vector<std::string> yards;
+};
+
+enum class HostStage { starting, running, failed };
+struct HostEntry {
+  HostName ref;
+  std::string endpoint;
+  std::string rig;
+  std::string yard;
+  bool loaners = false;
+  HostStage stage = HostStage::starting;
+  double ageS = 0;
+};
+
+}  // namespace reachhoist::wire
