--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -22,6 +22,7 @@
   const T& operator*() const { return std::get<T>(held_); }
   T& operator*() { return std::get<T>(held_); }
   const T* operator->() const { return &std::get<T>(held_); }
+  T* operator->() { return &std::get<T>(held_); }
   const std::string& reason() const { return std::get<Reason>(held_).text; }
 
  private:
