--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -67,6 +67,7 @@
   void takeAbsence(Machine& machine, const wire::Report& report);
   void newShift(Machine& machine, const wire::Report& report);
   void release(Machine& machine, Attempt& attempt, const char* why);
+  void unplace(jobs::Job& job, const wire::TaskId& task);
   void releaseAll(Machine& machine, const char* why);
   void dropFree(Machine& machine);
   void noteError(Machine& machine, Attempt& attempt);
--- a/src/service/owner_workers.cpp
+++ b/src/service/owner_workers.cpp
@@ -142,9 +142,19 @@
   if (context_.logs(Level::debug))
     context_.event(Level::debug, "ended",
                    {{"task", attempt.task.str()}, {"machine", machine.host.text}, {"cause", static_cast<int>(load.cause)}});
-  if (known && job->tasks[attempt.task.index] == jobs::TaskPhase::placed)
-    job->to(attempt.task.index, jobs::TaskPhase::waiting, context_.now);
+  if (known) unplace(*job, attempt.task);
+}
+
+void Owner::unplace(jobs::Job& job, const wire::TaskId& task) {
   planDue_ = true;
+  if (job.tasks[task.index] != jobs::TaskPhase::placed) return;
+  // Records are cleaned lazily: after a change of owner a task may stand in two of them, and the end of the stale
+  // attempt says nothing about the one that runs.
+  for (const auto& [host, machine] : machines_.all()) {
+    for (const Attempt& other : machine.attempts)
+      if (other.holdsRoom() && other.task == task) return;
+  }
+  job.to(task.index, jobs::TaskPhase::waiting, context_.now);
 }
 
 void Owner::takeAbsence(Machine& machine, const wire::Report& report) {
@@ -171,11 +181,9 @@
   if (wasEnded) return;  // its task has moved on already
   jobs::Job* job = jobs_.find(attempt.task.job.text);
   if (job == nullptr || !job->open() || attempt.task.index >= job->tasks.size()) return;
-  if (job->tasks[attempt.task.index] == jobs::TaskPhase::placed)
-    job->to(attempt.task.index, jobs::TaskPhase::waiting, context_.now);
   context_.event(Level::info, "released",
                  {{"task", attempt.task.str()}, {"machine", machine.host.text}, {"why", why}});
-  planDue_ = true;
+  unplace(*job, attempt.task);
 }
 
 void Owner::releaseAll(Machine& machine, const char* why) {
