--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -22,9 +22,12 @@
 
 spdlog::level::level_enum toSpdlog(reachhoist::service::Level level) {
   switch (level) {
-    case reachhoist::service::Level::error: return spdlog::level::err;
-    case reachhoist::service::Level::info: return spdlog::level::info;
-    case reachhoist::service::Level::debug: return spdlog::level::debug;
+    case reachhoist::service::Level::error:
+      return spdlog::level::err;
+    case reachhoist::service::Level::info:
+      return spdlog::level::info;
+    case reachhoist::service::Level::debug:
+      return spdlog::level::debug;
   }
   return spdlog::level::info;
 }
@@ -37,7 +40,8 @@
   std::string operatorsPath;
   std::string checkPath;
   app.set_version_flag("--version", kVersion);
-  auto* run = app.add_option("--config", platformPath, "settings file of the platform (JSON); runs the service");
+  auto* run =
+      app.add_option("--config", platformPath, "settings file of the platform (JSON); runs the service");
   auto* check = app.add_option("--check", checkPath, "checks a settings file and exits");
   app.add_option("--operators", operatorsPath, "operators' own settings (HCL blocks)");
   run->excludes(check);
@@ -49,7 +53,8 @@
   }
   reachhoist::config::Settings settings;
   auto problem = reachhoist::config::loadPlatform(path, settings);
-  if (!problem && !operatorsPath.empty()) problem = reachhoist::config::loadOperators(operatorsPath, settings);
+  if (!problem && !operatorsPath.empty())
+    problem = reachhoist::config::loadOperators(operatorsPath, settings);
   if (problem) {
     std::cerr << "reachhoist: " << problem->field << " " << problem->reason << "\n";
     return 1;
@@ -64,9 +69,8 @@
   logger.set_level(toSpdlog(level));
   logger.set_pattern("%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
   logger.flush_on(spdlog::level::debug);
-  reachhoist::service::Runtime runtime(settings, level, [&logger](auto of, const std::string& line) {
-    logger.log(toSpdlog(of), line);
-  });
+  reachhoist::service::Runtime runtime(
+      settings, level, [&logger](auto of, const std::string& line) { logger.log(toSpdlog(of), line); });
   std::cerr << "reachhoist: " << runtime.run() << "\n";
   return 1;
 }
--- a/src/cloud/client.cpp
+++ b/src/cloud/client.cpp
@@ -5,9 +5,9 @@
 namespace reachhoist::cloud {
 
 namespace {
-constexpr double kShareOfRate = 0.8;          // of the cloud's rate; siblings fetch the catalogue at their start
+constexpr double kShareOfRate = 0.8;  // of the cloud's rate; siblings fetch the catalogue at their start
 constexpr std::chrono::milliseconds kRetry{1000};  // after an outage's or the rate limit's refusal
-constexpr int kRefusalsMost = 2;              // after a refusal the same request may be sent once more
+constexpr int kRefusalsMost = 2;                   // after a refusal the same request may be sent once more
 }  // namespace
 
 Client::Client(wire::Calls& calls, const config::Settings& settings, std::string lifeName, Handlers handlers)
@@ -27,9 +27,10 @@
   call.path = std::move(path);
   call.body = std::move(body);
   call.timeout = constants::kCloudTimeout;
-  calls_.start(std::move(call), [done = std::move(done), alive = std::weak_ptr<int>(alive_)](const auto& result) {
-    if (alive.lock()) done(result);
-  });
+  calls_.start(std::move(call),
+               [done = std::move(done), alive = std::weak_ptr<int>(alive_)](const auto& result) {
+                 if (alive.lock()) done(result);
+               });
   return true;
 }
 
@@ -118,9 +119,8 @@
 }
 
 void Client::sendList(Time now) {
-  listing_ = call(now, "GET",
-                  "/hosts?after=" + listAfter_ + "&limit=" + std::to_string(constants::kListPage), {},
-                  [this](const wire::CallResult& result) {
+  listing_ = call(now, "GET", "/hosts?after=" + listAfter_ + "&limit=" + std::to_string(constants::kListPage),
+                  {}, [this](const wire::CallResult& result) {
                     listing_ = false;
                     const Json* hosts = wire::field(result.body, "hosts");
                     if (!result.ok() || hosts == nullptr || !hosts->is_array()) {
--- a/src/cloud/client.hpp
+++ b/src/cloud/client.hpp
@@ -1,5 +1,5 @@
-// Calls to the cloud within its rate, most urgent first; rental requests are repeated under their own name until
-// their outcome is known.
+// Calls to the cloud within its rate, most urgent first; rental requests are repeated under their own name
+// until their outcome is known.
 #pragma once
 
 #include <deque>
@@ -26,7 +26,8 @@
 class Client {
  public:
   struct Handlers {
-    std::function<void(const PoolKey& pool, const std::vector<std::string>& hosts, std::size_t refused)> rented;
+    std::function<void(const PoolKey& pool, const std::vector<std::string>& hosts, std::size_t refused)>
+        rented;
     std::function<void(const std::vector<std::string>& hosts)> returned;  // proven gone
     std::function<void(const std::vector<wire::HostEntry>& hosts)> listed;
     std::function<void(std::vector<wire::RigType> catalog)> catalog;
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -28,77 +28,74 @@
 inline constexpr milliseconds kLeaderRenew = 800ms;    // a third of the TTL less one slow answer
 inline constexpr milliseconds kConfirmEvery = 1s;      // ownership and cancellations are re-read this often
 inline constexpr milliseconds kElectionRetry = 300ms;  // between tries to take a vacant leadership
-inline constexpr milliseconds kElectionSpread = 200ms; // random addition, so that rivals don't collide
+inline constexpr milliseconds kElectionSpread = 200ms;  // random addition, so that rivals don't collide
 
 // --- Time limits of calls -------------------------------------------------------------------------------
-inline constexpr milliseconds kStateTimeout = 1500ms;   // state service answers in <10 ms, at times some 100
-inline constexpr milliseconds kStateLoadTimeout = 5s;   // whole pages at election take longer to parse
-inline constexpr milliseconds kCloudTimeout = 5s;       // rentals answer in ~100 ms; cut off when hanging
-inline constexpr milliseconds kWorkerTimeout = 2s;      // a healthy worker answers commands in ms
-inline constexpr milliseconds kWatchBlock = 10s;        // long poll; an open watch costs no budget
-inline constexpr milliseconds kWatchSlack = 3s;         // over the block before a watch counts as lost
-inline constexpr milliseconds kUserAnswerLimit = 1600ms;// users wait 2 s for a poll: answer 503 before that
-inline constexpr milliseconds kSubmitAnswerLimit = 4s;  // users wait 5 s for a submission
-inline constexpr int kRetryAfterS = 1;                  // s; the shortest that the protocol lets users retry
-inline constexpr milliseconds kRelayTimeout = 3s;       // below the 4 s after which a worker moves on
-inline constexpr milliseconds kRelayMemory = 8s;        // a worker back within this could not reach its owner
+inline constexpr milliseconds kStateTimeout = 1500ms;  // state service answers in <10 ms, at times some 100
+inline constexpr milliseconds kStateLoadTimeout = 5s;  // whole pages at election take longer to parse
+inline constexpr milliseconds kCloudTimeout = 5s;      // rentals answer in ~100 ms; cut off when hanging
+inline constexpr milliseconds kWorkerTimeout = 2s;     // a healthy worker answers commands in ms
+inline constexpr milliseconds kWatchBlock = 10s;       // long poll; an open watch costs no budget
+inline constexpr milliseconds kWatchSlack = 3s;        // over the block before a watch counts as lost
+inline constexpr milliseconds kUserAnswerLimit = 1600ms;  // users wait 2 s for a poll: answer 503 before that
+inline constexpr milliseconds kSubmitAnswerLimit = 4s;    // users wait 5 s for a submission
+inline constexpr int kRetryAfterS = 1;             // s; the shortest that the protocol lets users retry
+inline constexpr milliseconds kRelayTimeout = 3s;  // below the 4 s after which a worker moves on
+inline constexpr milliseconds kRelayMemory = 8s;   // a worker back within this could not reach its owner
 
 // --- Network --------------------------------------------------------------------------------------------
-inline constexpr milliseconds kConnectTimeout = 1500ms; // three retransmissions on these networks
-inline constexpr milliseconds kHeadTimeout = 5s;        // a request's head and body must be here by then
-inline constexpr milliseconds kIdleTimeout = 75s;       // idle connections are closed; users poll each 5 s
-inline constexpr std::size_t kReservedSockets = 120;    // kept from servers' use for our own calls
-inline constexpr std::size_t kPoolPerEndpoint = 4;      // idle client connections kept to one address
-inline constexpr milliseconds kPoolIdle = 30s;          // an idle client connection is closed after this
+inline constexpr milliseconds kConnectTimeout = 1500ms;  // three retransmissions on these networks
+inline constexpr milliseconds kHeadTimeout = 5s;         // a request's head and body must be here by then
+inline constexpr milliseconds kIdleTimeout = 75s;        // idle connections are closed; users poll each 5 s
+inline constexpr std::size_t kReservedSockets = 120;     // kept from servers' use for our own calls
+inline constexpr std::size_t kPoolPerEndpoint = 4;       // idle client connections kept to one address
+inline constexpr milliseconds kPoolIdle = 30s;           // an idle client connection is closed after this
 inline constexpr std::size_t kMaxAnswerBytes = 4 * 1024 * 1024;  // bytes; a watch answer has no other limit
 inline constexpr std::size_t kMaxFrameBytes = 256 * 1024;        // bytes of one peer message
 inline constexpr std::size_t kMaxPeerBacklog = 512 * 1024;       // bytes queued to a peer before dropping
-inline constexpr milliseconds kPeerRetry = 500ms;       // between connection tries to a sibling
-inline constexpr milliseconds kPeerBeat = 1s;           // progress messages, which also prove the link
+inline constexpr milliseconds kPeerRetry = 500ms;                // between connection tries to a sibling
+inline constexpr milliseconds kPeerBeat = 1s;  // progress messages, which also prove the link
 
 // --- State service budget -------------------------------------------------------------------------------
-inline constexpr double kLeaderShare = 0.60;   // share of the state budgets that the leader may use
-inline constexpr double kFollowerShare = 0.18; // share of each other controller (two of them in the sites)
-inline constexpr double kPollShare = 0.12;     // share of the request rate spent on confirming polls, each
+inline constexpr double kLeaderShare = 0.60;    // share of the state budgets that the leader may use
+inline constexpr double kFollowerShare = 0.18;  // share of each other controller (two of them in the sites)
+inline constexpr double kPollShare = 0.12;      // share of the request rate spent on confirming polls, each
 inline constexpr milliseconds kStateBackoff = 250ms;  // after a 429 or 503 on background work
-inline constexpr double kBudgetMargin = 0.92;  // of the stated rate: clocks and windows differ
+inline constexpr double kBudgetMargin = 0.92;         // of the stated rate: clocks and windows differ
 
 // --- Decisions ------------------------------------------------------------------------------------------
-inline constexpr milliseconds kTick = 50ms;             // step of all time-outs of the decision core
-inline constexpr milliseconds kRoundGap = 20ms;         // least time between placement rounds
-inline constexpr std::size_t kTasksPerRound = 400;      // placements of one round, so that rounds stay short
-inline constexpr double kSpareValueShare = 0.9;         // of the value limit, left for the record's other fields
-inline constexpr std::uint32_t kDoneChunk = 4096;       // tasks per done key: 1 KiB of hex, below any limit
-inline constexpr milliseconds kRecordHygiene = 15s;     // a record with only stale placements is rewritten then
+inline constexpr milliseconds kTick = 50ms;         // step of all time-outs of the decision core
+inline constexpr milliseconds kRoundGap = 20ms;     // least time between placement rounds
+inline constexpr std::size_t kTasksPerRound = 400;  // placements of one round, so that rounds stay short
+inline constexpr std::uint32_t kDoneChunk = 4096;   // tasks per done key: 1 KiB of hex, below any limit
 
 // --- Machines -------------------------------------------------------------------------------------------
-inline constexpr double kSilentReports = 3.0;           // missed reports after which a machine gets no new work
-inline constexpr double kBootPatience = 3.0;            // times bootS before a machine counts as never coming
-inline constexpr milliseconds kBootPatienceLeast = 60s; // least patience; some machines take several times longer
-inline constexpr int kSickErrors = 3;                   // errors in a row, of two jobs or more, make a machine sick
-inline constexpr int kSickJobs = 2;                     // distinct jobs: one wrong job must not condemn machines
-inline constexpr milliseconds kJobErrorBackoff = 2s;    // first pause of a job whose tasks fail; doubles
+inline constexpr double kSilentReports = 3.0;  // missed reports after which a machine gets no new work
+inline constexpr double kBootPatience = 3.0;   // times bootS before a machine counts as never coming
+inline constexpr milliseconds kBootPatienceLeast =
+    60s;                                            // least patience; some machines take several times longer
+inline constexpr int kSuspectErrors = 2;            // errors in a row after which a machine is looked into
+inline constexpr milliseconds kSuspectPause = 15s;  // without new work, while its jobs are tried elsewhere
+inline constexpr milliseconds kGoodAfter = 5s;      // running this long elsewhere clears a job
+inline constexpr milliseconds kJobErrorBackoff = 2s;       // first pause of a job whose tasks fail; doubles
 inline constexpr milliseconds kJobErrorBackoffMost = 30s;  // longest pause of such a job
-inline constexpr int kWrongJobMachines = 3;             // machines a job must fail on before it is held for wrong
-inline constexpr milliseconds kListEvery = 10s;         // machine list: finds strangers and failed machines
-inline constexpr milliseconds kCatalogEvery = 60s;      // prices move slowly
-inline constexpr milliseconds kCatalogRetry = 2s;       // until the machine types are known once
-inline constexpr milliseconds kStartPatience = 4s;      // a launch without effect is repeated by report until then
+inline constexpr int kWrongJobMachines = 3;         // machines a job must fail on before it is held for wrong
+inline constexpr milliseconds kListEvery = 10s;     // machine list: finds strangers and failed machines
+inline constexpr milliseconds kCatalogEvery = 60s;  // prices move slowly
+inline constexpr milliseconds kCatalogRetry = 2s;   // until the machine types are known once
 
 // --- Fleet: the ordinary path (DESIGN) ------------------------------------------------------------------
-inline constexpr milliseconds kSizingRound = 30s;       // SAIR's decision interval
-inline constexpr milliseconds kScaleUpCooldown = 60s;   // SAIR's validator
-inline constexpr milliseconds kScaleDownCooldown = 120s;// SAIR's validator
-inline constexpr std::size_t kStepDivisor = 8;          // a unit is an eighth of the pool, after SAIR's cap of 8
-inline constexpr int kStepMost = 2;                     // units added at most, SAIR's action set
-inline constexpr int kStepLeast = -1;                   // units removed at most, SAIR's action set
-inline constexpr milliseconds kQueueTarget = 5s;        // queue wait a pool aims at when no aim names one
+inline constexpr milliseconds kSizingRound = 30s;         // SAIR's decision interval
+inline constexpr milliseconds kScaleUpCooldown = 60s;     // SAIR's validator
+inline constexpr milliseconds kScaleDownCooldown = 120s;  // SAIR's validator
+inline constexpr std::size_t kStepDivisor = 8;    // a unit is an eighth of the pool, after SAIR's cap of 8
+inline constexpr int kStepMost = 2;               // units added at most, SAIR's action set
+inline constexpr int kStepLeast = -1;             // units removed at most, SAIR's action set
+inline constexpr milliseconds kQueueTarget = 5s;  // queue wait a pool aims at when no aim names one
 
 // --- Fleet: extensions ----------------------------------------------------------------------------------
-inline constexpr milliseconds kShortfallEvery = 1s;     // how often waiting work without room is looked for
-inline constexpr milliseconds kRefusedPause = 20s;      // a pool that refused a rental is not asked before
-inline constexpr milliseconds kIdleReturn = 45s;        // idle this long beyond the spare room: returned
-inline constexpr milliseconds kLeastRental = 60s;       // a deleted machine costs at least this
-inline constexpr double kSpareShare = 0.12;             // of the rooms used by prod work, kept free for its next
+inline constexpr milliseconds kShortfallEvery = 1s;  // how often waiting work without room is looked for
+inline constexpr milliseconds kRefusedPause = 20s;   // a pool that refused a rental is not asked before
+inline constexpr double kSpareShare = 0.12;          // of the rooms used by prod work, kept free for its next
 
 }  // namespace reachhoist::constants
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -60,7 +60,8 @@
   }
   // Absent: keeps the default.
   void maybeAmount(const char* key, double& out) {
-    if (const Json* found = wire::field(map_, key); found != nullptr && !found->is_null()) amount(key, out, 0);
+    if (const Json* found = wire::field(map_, key); found != nullptr && !found->is_null())
+      amount(key, out, 0);
   }
   void count(const char* key, unsigned& out, unsigned least) {
     const auto value = wire::countField(map_, key);
@@ -119,7 +120,8 @@
 }
 
 std::chrono::milliseconds Settings::leaseOver() const {
-  return std::chrono::milliseconds(static_cast<long>(std::ceil(leaseS * (1 + 2 * constants::kClockDrift) * 1000))) +
+  return std::chrono::milliseconds(
+             static_cast<long>(std::ceil(leaseS * (1 + 2 * constants::kClockDrift) * 1000))) +
          constants::kLeaseMargin;
 }
 
@@ -198,7 +200,8 @@
   facts.amount("clock_off_ms", out.clockOffMs, 0);
   // Without this no answer to a worker could be safe: see docs/safety.md, point 7.
   if (!problem && out.answerWindow() < std::chrono::milliseconds(static_cast<long>(out.reportS * 1000)))
-    facts.complain("workers.cancel_s", "leaves no time to renew leases: it must exceed lease_s by report_s and margins");
+    facts.complain("workers.cancel_s",
+                   "leaves no time to renew leases: it must exceed lease_s by report_s and margins");
   return problem;
 }
 
@@ -218,8 +221,8 @@
   const char* name;
   double least;
   double most;
-  double Operators::* real;
-  int Operators::* whole;
+  double Operators::*real;
+  int Operators::*whole;
 };
 
 constexpr NumberKey kSizingKeys[] = {
@@ -287,7 +290,8 @@
     for (cfg_t* place : {cfg.get(), section}) {
       if (place == nullptr) continue;
       cfg_opt_t* kept = cfg_getopt(place, "__complaint");
-      if (kept != nullptr && cfg_opt_size(kept) > 0) return Problem{"operators' file", cfg_opt_getnstr(kept, 0)};
+      if (kept != nullptr && cfg_opt_size(kept) > 0)
+        return Problem{"operators' file", cfg_opt_getnstr(kept, 0)};
     }
     return Problem{"operators' file", "cannot be parsed"};
   }
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -18,7 +18,7 @@
 
 struct Team {
   std::string name;
-  double cpus = 0;  // guaranteed
+  double cpus = 0;     // guaranteed
   double cpusMax = 0;  // 0: no limit
   double gpus = 0;
   double gpusMax = 0;
--- a/src/fleet/pools.cpp
+++ b/src/fleet/pools.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr double kPatienceS = 10;     // work without a deadline waits this long for room to come free by itself
+constexpr double kPatienceS = 10;  // work without a deadline waits this long for room to come free by itself
 constexpr double kBootReserve = 1.5;  // times bootS that a machine may take until it helps
 
 double price(const wire::RigType& rig, bool loaners) { return loaners ? rig.marketPrice : rig.rate; }
@@ -113,7 +113,8 @@
     int left = static_cast<int>(unmet.tasks);
     const auto fill = [&](Coming& machine) {
       if (!placement::allows(spec, machine.pool.rig, machine.pool.yard, machine.pool.loaners)) return;
-      while (left > 0 && spec.each.fitsIn(machine.room) && placement::zoneAllows(spec, byZone, machine.pool.yard)) {
+      while (left > 0 && spec.each.fitsIn(machine.room) &&
+             placement::zoneAllows(spec, byZone, machine.pool.yard)) {
         machine.room -= spec.each;
         ++byZone[machine.pool.yard];
         --left;
@@ -127,7 +128,8 @@
       for (const auto& [key, rig] : pools) {
         if (world.refused.contains(key)) continue;
         if (!placement::allows(spec, key.rig, key.yard, key.loaners)) continue;
-        if (!placement::zoneAllows(spec, byZone, key.yard) || !urgent(world, *unmet.job, rig->bootS)) continue;
+        if (!placement::zoneAllows(spec, byZone, key.yard) || !urgent(world, *unmet.job, rig->bootS))
+          continue;
         const int fit = tasksThatFit(spec.each, rig->room);
         if (fit < 1) continue;
         // Price of a task's room; a larger pool in one zone breaks ties the other way, to spread the risk.
@@ -161,7 +163,8 @@
   const double spare = prodUse * world.settings.operators.spareShare;
   std::vector<Machine*> out;
   for (Machine* machine : world.machines) {
-    if (machine->phase != machines::MachinePhase::up || !machine->attempts.empty() || machine->recordBusy) continue;
+    if (machine->phase != machines::MachinePhase::up || !machine->attempts.empty() || machine->recordBusy)
+      continue;
     if (world.now - machine->idleSince < wire::seconds(world.settings.operators.idleReturnS)) continue;
     if (!machine->loaners) {
       if (ordinaryFree - machine->total.vcpus < spare) continue;
--- a/src/fleet/pools.hpp
+++ b/src/fleet/pools.hpp
@@ -1,4 +1,5 @@
-// What sizing sees of the pools, and the extensions of the ordinary path: shortfall, lost machines, idle returns.
+// What sizing sees of the pools, and the extensions of the ordinary path: shortfall, lost machines, idle
+// returns.
 #pragma once
 
 #include <map>
@@ -16,10 +17,10 @@
 
 struct PoolView {
   PoolKey key;
-  int machines = 0;        // booting or up
-  int idle = 0;            // up and empty
-  double busyShare = 0;    // of the vCPUs of machines that are up
-  double queueWaitS = 0;   // longest wait of work that this pool could take
+  int machines = 0;       // booting or up
+  int idle = 0;           // up and empty
+  double busyShare = 0;   // of the vCPUs of machines that are up
+  double queueWaitS = 0;  // longest wait of work that this pool could take
   int queuedTasks = 0;
   double ratePerHour = 0;  // of one machine
   bool refused = false;    // its last rental was refused
@@ -43,8 +44,8 @@
 
 std::vector<PoolView> viewPools(const FleetWorld& world);
 
-// Extension "shortfall": work for which no machine, up or coming, has room, and that can't wait for the rounds.
-// Rents what a packing of that work needs; acts on nothing once the queue is placed.
+// Extension "shortfall": work for which no machine, up or coming, has room, and that can't wait for the
+// rounds. Rents what a packing of that work needs; acts on nothing once the queue is placed.
 std::vector<Rental> shortfall(const FleetWorld& world);
 
 // Extension "idle": machines empty for longer than the operators' limit and not needed as spare room.
--- a/src/fleet/sizing.cpp
+++ b/src/fleet/sizing.cpp
@@ -40,7 +40,8 @@
     }
     units = clamp(pool, state, pool.refused && units > 0 ? 0 : units, now);
     if (units == 0) continue;
-    Step step{pool.key, units, units * unitOf(pool.machines, settings_.operators.stepDivisor), "follows its queue"};
+    Step step{pool.key, units, units * unitOf(pool.machines, settings_.operators.stepDivisor),
+              "follows its queue"};
     if (units > 0) {
       state.previousUp = state.lastUp;
       state.lastUp = now;
--- a/src/jobs/jobs.cpp
+++ b/src/jobs/jobs.cpp
@@ -16,9 +16,12 @@
 
 std::string_view name(JobPhase phase) {
   switch (phase) {
-    case JobPhase::accepted: return "accepted";
-    case JobPhase::done: return "done";
-    case JobPhase::cancelled: return "cancelled";
+    case JobPhase::accepted:
+      return "accepted";
+    case JobPhase::done:
+      return "done";
+    case JobPhase::cancelled:
+      return "cancelled";
   }
   return "accepted";
 }
@@ -108,7 +111,8 @@
 }
 
 Json encodeOpen(const Job& job) {
-  return Json{{"phase", name(JobPhase::accepted)}, {"atMs", job.acceptedMs}, {"spec", wire::encodeJob(job.spec)}};
+  return Json{
+      {"phase", name(JobPhase::accepted)}, {"atMs", job.acceptedMs}, {"spec", wire::encodeJob(job.spec)}};
 }
 
 Json encodeFinal(const Job& job, JobPhase phase) {
--- a/src/jobs/jobs.hpp
+++ b/src/jobs/jobs.hpp
@@ -36,7 +36,7 @@
   std::uint32_t placed = 0;
   std::uint32_t running = 0;
   std::uint32_t completed = 0;
-  std::uint32_t firstWaiting = 0;  // no task below this one is waiting
+  std::uint32_t firstWaiting = 0;                     // no task below this one is waiting
   std::map<std::uint32_t, std::uint64_t> doneStamps;  // chunk -> stamp of its key
   std::set<std::uint32_t> dirtyChunks;                // completions not durable yet
   int errors = 0;
--- a/src/machines/machines.cpp
+++ b/src/machines/machines.cpp
@@ -6,25 +6,38 @@
 
 std::string_view name(AttemptPhase phase) {
   switch (phase) {
-    case AttemptPhase::planned: return "planned";
-    case AttemptPhase::recorded: return "recorded";
-    case AttemptPhase::pulling: return "pulling";
-    case AttemptPhase::running: return "running";
-    case AttemptPhase::saving: return "saving";
-    case AttemptPhase::ended: return "ended";
-    case AttemptPhase::free: return "free";
+    case AttemptPhase::planned:
+      return "planned";
+    case AttemptPhase::recorded:
+      return "recorded";
+    case AttemptPhase::pulling:
+      return "pulling";
+    case AttemptPhase::running:
+      return "running";
+    case AttemptPhase::saving:
+      return "saving";
+    case AttemptPhase::ended:
+      return "ended";
+    case AttemptPhase::free:
+      return "free";
   }
   return "free";
 }
 
 std::string_view name(MachinePhase phase) {
   switch (phase) {
-    case MachinePhase::booting: return "booting";
-    case MachinePhase::up: return "up";
-    case MachinePhase::draining: return "draining";
-    case MachinePhase::retiring: return "retiring";
-    case MachinePhase::returning: return "returning";
-    case MachinePhase::gone: return "gone";
+    case MachinePhase::booting:
+      return "booting";
+    case MachinePhase::up:
+      return "up";
+    case MachinePhase::draining:
+      return "draining";
+    case MachinePhase::retiring:
+      return "retiring";
+    case MachinePhase::returning:
+      return "returning";
+    case MachinePhase::gone:
+      return "gone";
   }
   return "gone";
 }
@@ -82,9 +95,10 @@
 Json Machine::record(bool retiring) const {
   Json list = Json::array();
   for (const Attempt& attempt : attempts)
-    if (attempt.phase != AttemptPhase::free) list.push_back(Json::array({attempt.task.str(), attempt.number}));
-  return Json{{"rig", rig},         {"yard", yard},           {"loaners", loaners}, {"endpoint", endpoint},
-              {"shift", shift},     {"retiring", retiring},   {"placed", std::move(list)}};
+    if (attempt.phase != AttemptPhase::free)
+      list.push_back(Json::array({attempt.task.str(), attempt.number}));
+  return Json{{"rig", rig},     {"yard", yard},         {"loaners", loaners},       {"endpoint", endpoint},
+              {"shift", shift}, {"retiring", retiring}, {"placed", std::move(list)}};
 }
 
 std::string machineKey(const std::string& host) { return "machines/" + host; }
--- a/src/machines/machines.hpp
+++ b/src/machines/machines.hpp
@@ -13,8 +13,8 @@
 using wire::Json;
 using wire::Time;
 
-// planned: its record is being written. recorded: durable, may be launched. pulling, running, saving, ended: as
-// the worker reports. free: proven gone; it holds nothing and can be dropped.
+// planned: its record is being written. recorded: durable, may be launched. pulling, running, saving, ended:
+// as the worker reports. free: proven gone; it holds nothing and can be dropped.
 enum class AttemptPhase { planned, recorded, pulling, running, saving, ended, free };
 std::string_view name(AttemptPhase phase);
 
@@ -35,9 +35,9 @@
   bool stopWanted = false;
   double windDownS = 0;
   bool stopSent = false;
-  int directs = 0;  // direct commands for it on their way
+  int directs = 0;                         // direct commands for it on their way
   std::optional<std::uint64_t> openBaton;  // of a direct launch that got no answer
-  Time since{};       // of the phase
+  Time since{};                            // of the phase
   Time placedAt{};
   Time runningSince{};
 
@@ -46,9 +46,9 @@
   void to(AttemptPhase next, Time now);
 };
 
-// booting: rented, not heard of. up: takes work. draining: gets no work, what it has is stopped or left to end.
-// retiring: the record that says so is being written. returning: the cloud has been asked to take it back.
-// gone: proven.
+// booting: rented, not heard of. up: takes work. draining: gets no work, what it has is stopped or left to
+// end. retiring: the record that says so is being written. returning: the cloud has been asked to take it
+// back. gone: proven.
 enum class MachinePhase { booting, up, draining, retiring, returning, gone };
 std::string_view name(MachinePhase phase);
 
@@ -66,11 +66,11 @@
   std::uint64_t tally = 0;
   std::uint64_t workerBaton = 0;  // highest the worker is known to have seen
   std::uint64_t fence = 0;
-  std::uint64_t stamp = 0;  // of its record; 0: none
-  bool recordBusy = false;  // a write of its record is under way
-  bool recordStale = false; // the record holds attempts that are free
-  bool direct = false;      // a direct command is under way
-  bool ordersDue = false;   // orders have come up that no report is likely to carry soon
+  std::uint64_t stamp = 0;   // of its record; 0: none
+  bool recordBusy = false;   // a write of its record is under way
+  bool recordStale = false;  // the record holds attempts that are free
+  bool direct = false;       // a direct command is under way
+  bool ordersDue = false;    // orders have come up that no report is likely to carry soon
   bool returnAsked = false;
   const char* returnReason = "";
   Time rentedAt{};
@@ -83,7 +83,8 @@
   std::vector<Attempt> attempts;
   std::map<std::string, double> crates;  // images it has: GB
   int errorsInRow = 0;
-  std::vector<std::string> errorJobs;
+  std::set<std::string> errorJobs;
+  Time suspectUntil{};  // gets no new work before
   bool sick = false;
 
   void to(MachinePhase next, Time now);
--- a/src/net/framed.cpp
+++ b/src/net/framed.cpp
@@ -10,11 +10,11 @@
 namespace reachhoist::net {
 
 namespace {
-constexpr std::size_t kReadChunk = 16 * 1024;  // bytes
-constexpr std::size_t kPrefix = 4;             // bytes of a frame's length, little endian
-constexpr std::size_t kMaxLinks = 32;          // open links; each sibling needs one, restarts leave old ones
-constexpr std::chrono::seconds kLinkIdle{30};  // siblings send a beat every second
-constexpr std::chrono::seconds kWriteLimit{5}; // a link that takes nothing for this long is dialled again
+constexpr std::size_t kReadChunk = 16 * 1024;   // bytes
+constexpr std::size_t kPrefix = 4;              // bytes of a frame's length, little endian
+constexpr std::size_t kMaxLinks = 32;           // open links; each sibling needs one, restarts leave old ones
+constexpr std::chrono::seconds kLinkIdle{30};   // siblings send a beat every second
+constexpr std::chrono::seconds kWriteLimit{5};  // a link that takes nothing for this long is dialled again
 }  // namespace
 
 bool FrameListener::listen(const Address& address, std::string& error) {
@@ -74,7 +74,8 @@
   if (backlogBytes_ + frame.size() > constants::kMaxPeerBacklog) return;
   std::string prefixed;
   prefixed.reserve(kPrefix + frame.size());
-  for (std::size_t i = 0; i < kPrefix; ++i) prefixed.push_back(static_cast<char>(frame.size() >> (8 * i) & 255U));
+  for (std::size_t i = 0; i < kPrefix; ++i)
+    prefixed.push_back(static_cast<char>(frame.size() >> (8 * i) & 255U));
   prefixed += frame;
   backlogBytes_ += prefixed.size();
   backlog_.push_back(std::move(prefixed));
--- a/src/net/framed.hpp
+++ b/src/net/framed.hpp
@@ -1,4 +1,5 @@
-// Length-prefixed frames between controllers. Each side dials the other and only sends on the link it dialled.
+// Length-prefixed frames between controllers. Each side dials the other and only sends on the link it
+// dialled.
 #pragma once
 
 #include <deque>
--- a/src/net/http_parser.cpp
+++ b/src/net/http_parser.cpp
@@ -39,20 +39,34 @@
 
 std::string_view reason(int status) {
   switch (status) {
-    case 200: return "OK";
-    case 201: return "Created";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 413: return "Content Too Large";
-    case 421: return "Misdirected Request";
-    case 422: return "Unprocessable Content";
-    case 429: return "Too Many Requests";
-    case 431: return "Request Header Fields Too Large";
-    case 501: return "Not Implemented";
-    case 503: return "Service Unavailable";
-    case 505: return "HTTP Version Not Supported";
-    default: return "Status";
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 413:
+      return "Content Too Large";
+    case 421:
+      return "Misdirected Request";
+    case 422:
+      return "Unprocessable Content";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 501:
+      return "Not Implemented";
+    case 503:
+      return "Service Unavailable";
+    case 505:
+      return "HTTP Version Not Supported";
+    default:
+      return "Status";
   }
 }
 
@@ -134,7 +148,8 @@
     if (end == std::string_view::npos) break;
     head.remove_prefix(end + 2);
   }
-  if (kind_ == Kind::answer && !length_ && message_.status != 204 && message_.status != 304) closeDelimited_ = true;
+  if (kind_ == Kind::answer && !length_ && message_.status != 204 && message_.status != 304)
+    closeDelimited_ = true;
   return true;
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -12,7 +12,7 @@
 namespace reachhoist::net {
 
 namespace {
-constexpr std::size_t kReadChunk = 8 * 1024;  // bytes; most requests fit in one read
+constexpr std::size_t kReadChunk = 8 * 1024;           // bytes; most requests fit in one read
 constexpr std::chrono::milliseconds kAcceptPause{50};  // after running out of descriptors
 }  // namespace
 
@@ -79,7 +79,8 @@
     }
     if (parser.state() == HttpParser::State::failed) {
       const std::string text = formatAnswer(parser.failureStatus(), {}, std::nullopt, false);
-      co_await connection.socket->writeAll(text.data(), text.size(), reactor_.now() + constants::kHeadTimeout);
+      co_await connection.socket->writeAll(text.data(), text.size(),
+                                           reactor_.now() + constants::kHeadTimeout);
       co_return;
     }
     const std::uint64_t number = nextNumber_++;
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -1,4 +1,5 @@
-// An HTTP server: one coroutine per connection, which hands whole requests to a handler and awaits its answer.
+// An HTTP server: one coroutine per connection, which hands whole requests to a handler and awaits its
+// answer.
 #pragma once
 
 #include <functional>
--- a/src/net/reactor.cpp
+++ b/src/net/reactor.cpp
@@ -228,7 +228,8 @@
       if (!co_await socket->writable(deadline)) co_return nullptr;
       int error = 0;
       socklen_t size = sizeof error;
-      if (::getsockopt(socket->fd(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) co_return nullptr;
+      if (::getsockopt(socket->fd(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0)
+        co_return nullptr;
       // The edge set at registration may come before the connection is made.
       sockaddr_in peer{};
       socklen_t peerSize = sizeof peer;
--- a/src/net/reactor.hpp
+++ b/src/net/reactor.hpp
@@ -36,7 +36,7 @@
 };
 
 struct Address {
-  std::uint32_t ip = 0;  // network order
+  std::uint32_t ip = 0;    // network order
   std::uint16_t port = 0;  // host order
   static bool parse(const std::string& text, Address& out);
 };
@@ -65,7 +65,7 @@
   struct Waiter {
     std::coroutine_handle<> handle;
     std::uint64_t timer = 0;
-    bool ready = false;     // an edge was seen that nobody has used yet
+    bool ready = false;  // an edge was seen that nobody has used yet
     bool timedOut = false;
   };
   struct Wait;
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -9,14 +9,14 @@
 namespace {
 
 // Weights of the choice among machines with room, in seconds of delay that each is worth.
-constexpr double kWrongKindS = 6.0;    // ordinary machine for work that may use spot: its room is prod's
-constexpr double kEmptyS = 1.5;        // spreading out instead of filling up keeps machines from being returned
+constexpr double kWrongKindS = 6.0;  // ordinary machine for work that may use spot: its room is prod's
+constexpr double kEmptyS = 1.5;      // spreading out instead of filling up keeps machines from being returned
 constexpr double kSharedFetchS = 0.5;  // joining a fetch that is under way costs about half of it
 
 struct Bin {
   Machine* machine;
   wire::Resources room;
-  bool touched = false;  // its record is written in this round
+  bool touched = false;                 // its record is written in this round
   std::map<std::string, bool> planned;  // images that this round's tasks bring
 };
 
@@ -38,7 +38,8 @@
 
   Plan run() {
     std::vector<Job*> order = world_.jobs;
-    std::stable_sort(order.begin(), order.end(), [this](const Job* a, const Job* b) { return before(*a, *b); });
+    std::stable_sort(order.begin(), order.end(),
+                     [this](const Job* a, const Job* b) { return before(*a, *b); });
     for (Job* job : order) placeJob(*job);
     return std::move(plan_);
   }
@@ -46,10 +47,17 @@
  private:
   bool takesWork(const Machine& machine) const {
     if (machine.phase != machines::MachinePhase::up || machine.recordBusy || machine.sick) return false;
+    if (machine.suspectUntil > world_.now) return false;
     const auto silent = wire::seconds(world_.settings.reportS * constants::kSilentReports);
     return world_.now - machine.lastHeard <= silent && !machine.recallAt;
   }
 
+  // What has failed on a machine is tried elsewhere, unless it has failed everywhere.
+  static bool avoids(const Job& job, const Machine& machine) {
+    return job.errorHosts.contains(machine.host.text) &&
+           static_cast<int>(job.errorHosts.size()) < constants::kWrongJobMachines;
+  }
+
   bool withinGuarantee(const Job& job) const {
     const config::Team* team = world_.settings.team(job.spec.crew);
     if (team == nullptr || (team->cpus <= 0 && team->gpus <= 0)) return false;
@@ -105,7 +113,7 @@
       if (!bin.touched && touched_ >= world_.maxMachines) continue;
       if (!job.spec.each.fitsIn(bin.room)) continue;
       if (!allows(job.spec, machine.rig, machine.yard, machine.loaners)) continue;
-      if (job.errorHosts.contains(machine.host.text)) continue;
+      if (avoids(job, machine)) continue;
       if (!zoneAllows(job.spec, placed_[job.spec.ref.text], machine.yard)) continue;
       const double seconds = delay(bin, job);
       if (seconds < bestDelay) {
@@ -140,10 +148,11 @@
     left -= std::min(left, blockedByTeam);
     if (left == 0) return;
     // Only what the team's limit lets start is asked of sizing.
-    if (const config::Team* team = world_.settings.team(job.spec.crew); team != nullptr && team->cpusMax > 0) {
+    if (const config::Team* team = world_.settings.team(job.spec.crew);
+        team != nullptr && team->cpusMax > 0) {
       const double free = team->cpusMax - teams_[job.spec.crew].cpus;
-      left = std::min(left, static_cast<std::uint32_t>(
-                                std::max(0.0, free / std::max(job.spec.each.vcpus, 0.01) + 1e-6)));
+      left = std::min(
+          left, static_cast<std::uint32_t>(std::max(0.0, free / std::max(job.spec.each.vcpus, 0.01) + 1e-6)));
     }
     if (left == 0) return;
     plan_.unmet.push_back(Unmet{&job, left});
@@ -212,7 +221,7 @@
     for (Bin& bin : bins_) {
       const Machine& machine = *bin.machine;
       if (!allows(job.spec, machine.rig, machine.yard, machine.loaners)) continue;
-      if (job.errorHosts.contains(machine.host.text)) continue;
+      if (avoids(job, machine)) continue;
       if (!zoneAllows(job.spec, placed_[job.spec.ref.text], machine.yard)) continue;
       std::vector<const machines::Attempt*> candidates;
       for (const machines::Attempt& attempt : machine.attempts)
@@ -240,8 +249,8 @@
     for (const auto* victim : bestVictims) {
       stopped_[{victim->task, victim->number}] = true;
       bestBin->room += victim->each;
-      plan_.stops.push_back(Stop{bestBin->machine, victim->task, victim->number,
-                                 victim->saves ? victim->stowS + 1 : 0});
+      plan_.stops.push_back(
+          Stop{bestBin->machine, victim->task, victim->number, victim->saves ? victim->stowS + 1 : 0});
     }
     // Held for the one it was made for.
     bestBin->room -= job.spec.each;
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -1,5 +1,5 @@
-// Which waiting task goes to which machine, and what may be stopped to make room. Decisions only: nothing here
-// changes jobs or machines.
+// Which waiting task goes to which machine, and what may be stopped to make room. Decisions only: nothing
+// here changes jobs or machines.
 #pragma once
 
 #include <map>
--- a/src/service/context.hpp
+++ b/src/service/context.hpp
@@ -38,8 +38,8 @@
   LogField(std::string_view k, std::string v) : key(k), value(std::move(v)) {}
   LogField(std::string_view k, const char* v) : key(k), value(v) {}
   template <class Number>
-    requires std::is_arithmetic_v<Number>
-  LogField(std::string_view k, Number v) : key(k), value(std::to_string(v)) {}
+  requires std::is_arithmetic_v<Number> LogField(std::string_view k, Number v)
+      : key(k), value(std::to_string(v)) {}
 };
 
 struct Context {
@@ -66,7 +66,9 @@
   void reply(std::uint64_t request, int status, Json body, std::optional<int> retryAfterS = std::nullopt) {
     replies.push_back(Reply{request, status, std::move(body), retryAfterS});
   }
-  void later(std::uint64_t request) { reply(request, 503, Json{{"error", "try again"}}, constants::kRetryAfterS); }
+  void later(std::uint64_t request) {
+    reply(request, 503, Json{{"error", "try again"}}, constants::kRetryAfterS);
+  }
 };
 
 }  // namespace reachhoist::service
--- a/src/service/controller.cpp
+++ b/src/service/controller.cpp
@@ -17,7 +17,8 @@
   logSink(of, line);
 }
 
-Controller::Controller(const config::Settings& settings, std::uint64_t seed, Level level, Context::LogSink sink)
+Controller::Controller(const config::Settings& settings, std::uint64_t seed, Level level,
+                       Context::LogSink sink)
     : settings_(settings),
       context_(settings, level, std::move(sink)),
       jobFeed_(context_.state, std::string(kJobsPrefix), state::Urgency::place,
@@ -37,7 +38,8 @@
                      ownerTerm_ = 0;
                      context_.event(Level::info, "deposed", {{"why", why}});
                    }}),
-      users_(context_, jobFeed_, jobs_, [this](auto change, const std::string& ref) { applied(change, ref); }) {}
+      users_(context_, jobFeed_, jobs_,
+             [this](auto change, const std::string& ref) { applied(change, ref); }) {}
 
 void Controller::at(Time now, std::int64_t wallMs) {
   context_.now = now;
@@ -74,7 +76,8 @@
   if (owner_) owner_->tick();
   fetchCatalog();
   if (now >= nextBeat_) beat();
-  std::erase_if(redirects_, [now](const auto& entry) { return now - entry.second.at > constants::kRelayMemory; });
+  std::erase_if(redirects_,
+                [now](const auto& entry) { return now - entry.second.at > constants::kRelayMemory; });
   for (auto relay = relays_.begin(); relay != relays_.end();) {
     if (relay->second.deadline > now) {
       ++relay;
@@ -123,7 +126,9 @@
   path = path.substr(0, path.find('?'));
   const bool get = request.method == "GET";
   const bool post = request.method == "POST";
-  const auto wrongMethod = [&] { context_.reply(request.number, 405, Json{{"error", "method not allowed"}}); };
+  const auto wrongMethod = [&] {
+    context_.reply(request.number, 405, Json{{"error", "method not allowed"}});
+  };
   if (path == "/healthz") {
     if (!get) return wrongMethod();
     const bool able = jobFeed_.ready() && context_.catalog.has_value();
@@ -153,7 +158,8 @@
 
 void Controller::report(std::uint64_t request, const std::string& body) {
   const auto decoded = wire::decodeBody(body);
-  const auto report = decoded ? wire::decodeReport(*decoded) : wire::Result<wire::Report>::failure(decoded.reason());
+  const auto report =
+      decoded ? wire::decodeReport(*decoded) : wire::Result<wire::Report>::failure(decoded.reason());
   if (!report) {
     context_.event(Level::info, "bad_report", {{"why", report.reason()}});
     return context_.reply(request, 400, Json{{"error", report.reason()}});
@@ -169,7 +175,8 @@
 
 void Controller::misdirected(std::uint64_t request, const wire::Report& report, const std::string& body) {
   const std::string& owner = leadership_.leader();
-  if (owner.empty() || owner == settings_.label || settings_.sibling(owner) == nullptr) return context_.later(request);
+  if (owner.empty() || owner == settings_.label || settings_.sibling(owner) == nullptr)
+    return context_.later(request);
   const auto sent = redirects_.find(report.host.text);
   if (sent != redirects_.end() && sent->second.to == owner) {
     // It was told where to go and is back: it can't reach the owner, but perhaps we can.
@@ -204,7 +211,8 @@
 void Controller::onRelay(const std::string& from, const peer::Relay& relay) {
   peer::Relayed answer{relay.number, 503, {}};
   const auto decoded = wire::decodeBody(relay.report);
-  const auto report = decoded ? wire::decodeReport(*decoded) : wire::Result<wire::Report>::failure(decoded.reason());
+  const auto report =
+      decoded ? wire::decodeReport(*decoded) : wire::Result<wire::Report>::failure(decoded.reason());
   if (report && owner_ && !ownerDue_) {
     auto given = owner_->onReport(*report);
     answer.status = given.status;
@@ -255,16 +263,17 @@
       context_.state.multi(context_.now, state::Urgency::rest, transaction, [](const auto&) {});
       return;
     }
-    context_.state.get(context_.now, state::Urgency::place, kCatalogKey, [this](const wire::CallResult& stored) {
-      const Json* value = wire::field(stored.body, "value");
-      if (!stored.ok() || value == nullptr || context_.catalog) return;
-      auto known = wire::decodeCatalog(*value);
-      if (known) {
-        context_.catalog = std::move(*known);
-      } else {
-        context_.event(Level::error, "bad_record", {{"key", kCatalogKey}, {"why", known.reason()}});
-      }
-    });
+    context_.state.get(
+        context_.now, state::Urgency::place, kCatalogKey, [this](const wire::CallResult& stored) {
+          const Json* value = wire::field(stored.body, "value");
+          if (!stored.ok() || value == nullptr || context_.catalog) return;
+          auto known = wire::decodeCatalog(*value);
+          if (known) {
+            context_.catalog = std::move(*known);
+          } else {
+            context_.event(Level::error, "bad_record", {{"key", kCatalogKey}, {"why", known.reason()}});
+          }
+        });
   });
 }
 
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -25,8 +25,11 @@
       cloud_(std::make_unique<cloud::Client>(
           context.calls, context.settings, context.settings.label + "-" + std::to_string(term),
           cloud::Client::Handlers{
-              [this](const auto& pool, const auto& hosts, std::size_t refused) { onRented(pool, hosts, refused); },
-              [this](const auto& hosts) { onReturned(hosts); }, [this](const auto& hosts) { onListed(hosts); },
+              [this](const auto& pool, const auto& hosts, std::size_t refused) {
+                onRented(pool, hosts, refused);
+              },
+              [this](const auto& hosts) { onReturned(hosts); },
+              [this](const auto& hosts) { onListed(hosts); },
               [this](std::vector<wire::RigType> catalog) { context_.catalog = std::move(catalog); }})),
       sizing_(context.settings) {
   load();
@@ -97,7 +100,8 @@
           }
           doneRecords_.push_back(DoneRecord{rest.substr(0, slash), chunk, *hex, stamp});
         }
-        if (wire::flagField(result.body, "more").value_or(false) && !last.empty()) return loadPage(prefix, last);
+        if (wire::flagField(result.body, "more").value_or(false) && !last.empty())
+          return loadPage(prefix, last);
         loadsLeft_.erase(prefix);
       });
 }
@@ -122,11 +126,13 @@
   machine.lastHeard = context_.now;
   // Until this moment plus its window an earlier owner may have renewed the worker's lease.
   machine.lastAnswered = electedAt_ + context_.settings.answerWindow();
-  machine.phase = wire::flagField(value, "retiring").value_or(false) ? MachinePhase::returning : MachinePhase::up;
+  machine.phase =
+      wire::flagField(value, "retiring").value_or(false) ? MachinePhase::returning : MachinePhase::up;
   machine.upSince = context_.now;
   machine.idleSince = context_.now;
   for (const Json& entry : *placed) {
-    if (!entry.is_array() || entry.size() != 2 || !entry[0].is_string() || !entry[1].is_number_unsigned()) continue;
+    if (!entry.is_array() || entry.size() != 2 || !entry[0].is_string() || !entry[1].is_number_unsigned())
+      continue;
     const auto task = wire::parseTaskId(entry[0].get<std::string>());
     if (!task) continue;
     Attempt attempt;
@@ -176,11 +182,13 @@
   }
   to(State::acting);
   actingSince_ = context_.now;
-  context_.event(Level::info, "acting",
-                 {{"term", term_},
-                  {"machines", machines_.all().size()},
-                  {"open_jobs", jobs_.open().size()},
-                  {"load_ms", std::chrono::duration_cast<std::chrono::milliseconds>(context_.now - electedAt_).count()}});
+  context_.event(
+      Level::info, "acting",
+      {{"term", term_},
+       {"machines", machines_.all().size()},
+       {"open_jobs", jobs_.open().size()},
+       {"load_ms",
+        std::chrono::duration_cast<std::chrono::milliseconds>(context_.now - electedAt_).count()}});
 }
 
 // --- life ------------------------------------------------------------------------------------------------
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -1,5 +1,5 @@
-// What a controller does while it owns the parts: workers, placement, completions, the fleet. Lives for one term
-// and loads all it needs to know from the state service first.
+// What a controller does while it owns the parts: workers, placement, completions, the fleet. Lives for one
+// term and loads all it needs to know from the state service first.
 #pragma once
 
 #include <functional>
@@ -71,6 +71,8 @@
   void releaseAll(Machine& machine, const char* why);
   void dropFree(Machine& machine);
   void noteError(Machine& machine, Attempt& attempt);
+  bool provenGood(const std::string& ref, const Machine& blamed) const;
+  void judge(Machine& machine);
   void complete(const wire::TaskId& task);
   bool durablyDone(const wire::TaskId& task);
   void stop(Machine& machine, Attempt& attempt, double windDownS);
--- a/src/service/owner_fleet.cpp
+++ b/src/service/owner_fleet.cpp
@@ -31,7 +31,8 @@
     refusedUntil_[pool] = context_.now + constants::kRefusedPause;
     if (hosts.empty()) sizing_.refused(pool);
   }
-  context_.event(Level::info, "rented", {{"pool", pool.str()}, {"machines", hosts.size()}, {"refused", refused}});
+  context_.event(Level::info, "rented",
+                 {{"pool", pool.str()}, {"machines", hosts.size()}, {"refused", refused}});
   planDue_ = true;
 }
 
@@ -115,8 +116,8 @@
 }
 
 fleet::FleetWorld Owner::fleetWorld() {
-  fleet::FleetWorld world{context_.settings, *context_.catalog, context_.now, context_.wallMs,
-                          allMachines(),     unmet_,            {},           {}};
+  fleet::FleetWorld world{
+      context_.settings, *context_.catalog, context_.now, context_.wallMs, allMachines(), unmet_, {}, {}};
   std::erase_if(world.unmet, [](const placement::Unmet& unmet) { return !unmet.job->open(); });
   std::erase_if(refusedUntil_, [this](const auto& entry) { return entry.second <= context_.now; });
   for (const auto& [pool, until] : refusedUntil_) world.refused.insert(pool);
@@ -144,8 +145,9 @@
   if (sizing_.due(context_.now)) {
     const auto world = fleetWorld();
     for (const fleet::Step& step : sizing_.round(context_.now, fleet::viewPools(world))) {
-      context_.event(Level::info, "step",
-                     {{"pool", step.pool.str()}, {"units", step.units}, {"machines", step.machines}, {"why", step.why}});
+      context_.event(
+          Level::info, "step",
+          {{"pool", step.pool.str()}, {"units", step.units}, {"machines", step.machines}, {"why", step.why}});
       if (step.machines > 0) rent(step.pool, step.machines, "step");
       int left = -step.machines;
       for (auto& [host, machine] : machines_.all()) {
--- a/src/service/owner_rounds.cpp
+++ b/src/service/owner_rounds.cpp
@@ -1,5 +1,5 @@
-// Rounds of decisions: while one transaction is under way the next round's work gathers, so that batches widen
-// with the load.
+// Rounds of decisions: while one transaction is under way the next round's work gathers, so that batches
+// widen with the load.
 #include <algorithm>
 
 #include "service/owner.hpp"
@@ -36,7 +36,8 @@
     parts.insert(cluster::partOf(*at, leadership_.parts()));
     if (job->finished()) {
       transaction.conditions.push_back({jobs::jobKey(*at), job->stamp});
-      transaction.writes.push_back({jobs::jobKey(*at), jobs::encodeFinal(*job, jobs::JobPhase::done), std::nullopt});
+      transaction.writes.push_back(
+          {jobs::jobKey(*at), jobs::encodeFinal(*job, jobs::JobPhase::done), std::nullopt});
       for (const auto& [chunk, stamp] : job->doneStamps) {
         if (transaction.writes.size() < most) {
           transaction.writes.push_back({jobs::doneKey(*at, chunk), std::nullopt, std::nullopt});
@@ -56,7 +57,8 @@
       const auto stamp = job->doneStamps.find(chunk);
       transaction.conditions.push_back(
           {jobs::doneKey(*at, chunk), stamp == job->doneStamps.end() ? 0 : stamp->second});
-      transaction.writes.push_back({jobs::doneKey(*at, chunk), Json{{"hex", job->doneChunk(chunk)}}, std::nullopt});
+      transaction.writes.push_back(
+          {jobs::doneKey(*at, chunk), Json{{"hex", job->doneChunk(chunk)}}, std::nullopt});
       chunks.emplace_back(*at, chunk);
       flyingChunks_.insert(chunks.back());
     }
@@ -64,8 +66,9 @@
   }
   if (transaction.writes.empty()) return;
   for (auto& condition : partConditions(parts)) transaction.conditions.push_back(std::move(condition));
-  completions_.commit(context_.now, state::Urgency::complete, std::move(transaction),
-                      [this, chunks, finals](const state::Outcome& outcome) { onCompletions(chunks, finals, outcome); });
+  completions_.commit(
+      context_.now, state::Urgency::complete, std::move(transaction),
+      [this, chunks, finals](const state::Outcome& outcome) { onCompletions(chunks, finals, outcome); });
 }
 
 void Owner::onCompletions(const std::vector<std::pair<std::string, std::uint32_t>>& chunks,
@@ -83,7 +86,8 @@
     return refusedBy(outcome, "completions");
   }
   for (const auto& [ref, chunk] : chunks) {
-    if (jobs::Job* job = jobs_.find(ref); job != nullptr && job->open()) job->doneStamps[chunk] = outcome.stamp;
+    if (jobs::Job* job = jobs_.find(ref); job != nullptr && job->open())
+      job->doneStamps[chunk] = outcome.stamp;
   }
   for (const std::string& ref : finals) {
     jobs::Job* job = jobs_.find(ref);
@@ -114,8 +118,14 @@
   planDue_ = false;
   nextPlan_ = context_.now + constants::kRoundGap;
   const std::size_t ops = context_.settings.stateTxnOps;
-  placement::World world{context_.settings, context_.now, context_.wallMs, {}, allMachines(), ops,
-                         4 * ops - ops - leadership_.parts(), constants::kTasksPerRound};
+  placement::World world{context_.settings,
+                         context_.now,
+                         context_.wallMs,
+                         {},
+                         allMachines(),
+                         ops,
+                         4 * ops - ops - leadership_.parts(),
+                         constants::kTasksPerRound};
   for (const std::string& ref : jobs_.open()) {
     jobs::Job* job = jobs_.find(ref);
     if (job->waiting > 0) world.jobs.push_back(job);
@@ -129,7 +139,8 @@
   unmet_ = std::move(plan.unmet);
   for (const placement::Stop& order : plan.stops) {
     if (Attempt* attempt = order.machine->find(order.task, order.attempt)) {
-      context_.event(Level::info, "preempt", {{"task", order.task.str()}, {"machine", order.machine->host.text}});
+      context_.event(Level::info, "preempt",
+                     {{"task", order.task.str()}, {"machine", order.machine->host.text}});
       stop(*order.machine, *attempt, order.windDownS);
     }
   }
@@ -167,7 +178,8 @@
     transaction.writes.push_back({machines::machineKey(host), machine->record(false), std::nullopt});
     hosts.push_back(host);
   }
-  for (const std::string& ref : jobKeys) transaction.conditions.push_back({jobs::jobKey(ref), jobs_.find(ref)->stamp});
+  for (const std::string& ref : jobKeys)
+    transaction.conditions.push_back({jobs::jobKey(ref), jobs_.find(ref)->stamp});
   for (auto& condition : partConditions(parts)) transaction.conditions.push_back(std::move(condition));
   placements_.commit(context_.now, state::Urgency::place, std::move(transaction),
                      [this, hosts](const state::Outcome& outcome) { onPlacements(hosts, outcome); });
@@ -200,7 +212,8 @@
   sendDirects();
 }
 
-// --- records of machines that go ------------------------------------------------------------------------------
+// --- records of machines that go
+// ------------------------------------------------------------------------------
 
 void Owner::recordRound() {
   if (records_.busy()) return;
--- a/src/service/owner_workers.cpp
+++ b/src/service/owner_workers.cpp
@@ -73,7 +73,8 @@
       stray.since = stray.placedAt = context_.now;
       machine.attempts.push_back(std::move(stray));
       attempt = &machine.attempts.back();
-      context_.event(Level::info, "stray_attempt", {{"machine", machine.host.text}, {"task", load.load.str()}});
+      context_.event(Level::info, "stray_attempt",
+                     {{"machine", machine.host.text}, {"task", load.load.str()}});
     }
     takeLoad(machine, *attempt, load);
   }
@@ -84,7 +85,8 @@
 
 void Owner::newShift(Machine& machine, const wire::Report& report) {
   if (machine.shift != 0 && !machine.attempts.empty())
-    context_.event(Level::info, "lease_lost", {{"machine", machine.host.text}, {"attempts", machine.attempts.size()}});
+    context_.event(Level::info, "lease_lost",
+                   {{"machine", machine.host.text}, {"attempts", machine.attempts.size()}});
   // The worker has killed and forgotten everything of the session before.
   if (machine.shift != 0) releaseAll(machine, "lease lost");
   machine.shift = report.shift;
@@ -114,7 +116,8 @@
     case wire::LoadStage::running:
       if (attempt.phase != AttemptPhase::running && context_.logs(Level::debug))
         context_.event(Level::debug, "running",
-                       {{"task", attempt.task.str()}, {"machine", machine.host.text},
+                       {{"task", attempt.task.str()},
+                        {"machine", machine.host.text},
                         {"after_s", wire::toSeconds(context_.now - attempt.placedAt)}});
       setRunning(attempt, AttemptPhase::running);
       if (!attempt.crate.empty()) machine.noteCrate(attempt.crate, attempt.sizeGb);
@@ -141,15 +144,17 @@
   if (load.cause == wire::Cause::error || load.cause == wire::Cause::unknown) noteError(machine, attempt);
   if (context_.logs(Level::debug))
     context_.event(Level::debug, "ended",
-                   {{"task", attempt.task.str()}, {"machine", machine.host.text}, {"cause", static_cast<int>(load.cause)}});
+                   {{"task", attempt.task.str()},
+                    {"machine", machine.host.text},
+                    {"cause", static_cast<int>(load.cause)}});
   if (known) unplace(*job, attempt.task);
 }
 
 void Owner::unplace(jobs::Job& job, const wire::TaskId& task) {
   planDue_ = true;
   if (job.tasks[task.index] != jobs::TaskPhase::placed) return;
-  // Records are cleaned lazily: after a change of owner a task may stand in two of them, and the end of the stale
-  // attempt says nothing about the one that runs.
+  // Records are cleaned lazily: after a change of owner a task may stand in two of them, and the end of the
+  // stale attempt says nothing about the one that runs.
   for (const auto& [host, machine] : machines_.all()) {
     for (const Attempt& other : machine.attempts)
       if (other.holdsRoom() && other.task == task) return;
@@ -162,9 +167,10 @@
   // late copy of one that an earlier owner got.
   if (report.baton < cluster::baton(term_, 0)) return;
   for (Attempt& attempt : machine.attempts) {
-    const bool present = std::any_of(report.loads.begin(), report.loads.end(), [&](const wire::LoadState& load) {
-      return load.attempt == attempt.number && load.load == attempt.task;
-    });
+    const bool present =
+        std::any_of(report.loads.begin(), report.loads.end(), [&](const wire::LoadState& load) {
+          return load.attempt == attempt.number && load.load == attempt.task;
+        });
     if (present || attempt.phase == AttemptPhase::planned) continue;
     if (attempt.directs > 0 || attempt.openBaton) continue;  // a launch may still take effect
     const bool seen = attempt.phase != AttemptPhase::recorded;
@@ -202,26 +208,49 @@
   const std::string& ref = attempt.task.job.text;
   context_.event(Level::info, "task_failed", {{"task", attempt.task.str()}, {"machine", machine.host.text}});
   jobs::Job* job = jobs_.find(ref);
-  if (job != nullptr && job->open()) {
-    ++job->errors;
-    job->errorHosts.insert(machine.host.text);
-    // A job that fails wherever it goes is itself wrong: it is tried ever more rarely, and no machine is blamed.
-    const bool wrong = job->errorHosts.size() >= static_cast<std::size_t>(constants::kWrongJobMachines);
-    if (wrong) {
-      auto pause = constants::kJobErrorBackoff * (1 << std::min(job->errors, 4));
-      job->heldUntil = context_.now + std::min<std::chrono::milliseconds>(pause, constants::kJobErrorBackoffMost);
-      job->errorHosts.clear();
-      return;
+  if (job == nullptr || !job->open()) return;
+  ++job->errors;
+  job->errorHosts.insert(machine.host.text);
+  ++machine.errorsInRow;
+  machine.errorJobs.insert(ref);
+  if (machine.errorsInRow >= constants::kSuspectErrors)
+    machine.suspectUntil = context_.now + constants::kSuspectPause;
+  if (static_cast<int>(job->errorHosts.size()) < constants::kWrongJobMachines) return;
+  // Failed wherever it went: it is tried ever more rarely, anywhere, until its user cancels it.
+  const auto pause = constants::kJobErrorBackoff * (1 << std::min(job->errors, 4));
+  job->heldUntil = context_.now + std::min<std::chrono::milliseconds>(pause, constants::kJobErrorBackoffMost);
+}
+
+bool Owner::provenGood(const std::string& ref, const Machine& blamed) const {
+  for (const auto& [host, machine] : machines_.all()) {
+    if (&machine == &blamed) continue;
+    for (const Attempt& attempt : machine.attempts) {
+      if (attempt.task.job.text != ref) continue;
+      if (attempt.phase == AttemptPhase::ended && attempt.cause == wire::Cause::done) return true;
+      if (attempt.onMachine() && context_.now - attempt.since > constants::kGoodAfter) return true;
     }
   }
-  ++machine.errorsInRow;
-  if (std::find(machine.errorJobs.begin(), machine.errorJobs.end(), ref) == machine.errorJobs.end())
-    machine.errorJobs.push_back(ref);
-  if (machine.errorsInRow >= constants::kSickErrors &&
-      static_cast<int>(machine.errorJobs.size()) >= constants::kSickJobs && !machine.sick) {
-    machine.sick = true;
-    retire(machine, "sick");
+  const jobs::Job* job = jobs_.find(ref);
+  return job != nullptr && job->open() && job->completed > 0;
+}
+
+void Owner::judge(Machine& machine) {
+  // A job that is itself wrong fails on every machine, a sick machine fails every job. What tells them apart
+  // is how the same job does elsewhere, and failed tasks are always tried elsewhere first.
+  if (machine.errorsInRow < constants::kSuspectErrors || machine.sick) return;
+  bool allWrong = true;
+  for (const std::string& ref : machine.errorJobs) {
+    if (provenGood(ref, machine)) {
+      machine.sick = true;
+      return retire(machine, "sick");
+    }
+    const jobs::Job* job = jobs_.find(ref);
+    if (job != nullptr && job->open() && job->errorHosts.size() < 2) allWrong = false;
   }
+  if (!allWrong) return;
+  machine.errorsInRow = 0;
+  machine.errorJobs.clear();
+  machine.suspectUntil = {};
 }
 
 void Owner::complete(const wire::TaskId& task) {
@@ -370,6 +399,7 @@
   const bool settled = context_.now - actingSince_ > silentFor && mayAnswer();
   for (auto& [host, machine] : machines_.all()) {
     if (machine.phase == MachinePhase::gone) continue;
+    judge(machine);
     const bool over = context_.now - machine.lastAnswered > settings.leaseOver();
     if (over && machine.phase != MachinePhase::booting &&
         std::any_of(machine.attempts.begin(), machine.attempts.end(),
--- a/src/service/runtime.cpp
+++ b/src/service/runtime.cpp
@@ -23,7 +23,8 @@
       }) {}
 
 std::int64_t Runtime::wallMs() const {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
       .count();
 }
 
--- a/src/service/users.cpp
+++ b/src/service/users.cpp
@@ -5,9 +5,9 @@
 namespace reachhoist::service {
 
 namespace {
-constexpr int kFlyingMost = 3;     // acceptances under way at once; beyond that they share transactions
-constexpr int kAbortTries = 4;     // each lost race means that the job has changed in between
-constexpr std::size_t kBatchBytes = 48 * 1024;  // of one transaction, which may hold 64 KiB
+constexpr int kFlyingMost = 3;  // acceptances under way at once; beyond that they share transactions
+constexpr int kAbortTries = 4;  // each lost race means that the job has changed in between
+constexpr std::size_t kBatchBytes = 48 * 1024;        // of one transaction, which may hold 64 KiB
 constexpr std::chrono::milliseconds kPatience{1500};  // a submission is answered by then: 503 if need be
 }  // namespace
 
@@ -19,7 +19,10 @@
   std::uint32_t running = job.tasks.empty() ? job.shownRunning : job.running;
   if (job.phase == jobs::JobPhase::done) done = job.spec.loads;
   if (!job.open()) running = 0;
-  return Json{{"ref", job.spec.ref.text}, {"stage", wire::name(job.shownStage())}, {"done", done}, {"running", running}};
+  return Json{{"ref", job.spec.ref.text},
+              {"stage", wire::name(job.shownStage())},
+              {"done", done},
+              {"running", running}};
 }
 
 Json Users::brief(const jobs::Job& job) const {
@@ -52,11 +55,12 @@
 std::optional<std::string> Users::cannotRun(const wire::JobSpec& spec) const {
   const config::Team* team = context_.settings.team(spec.crew);
   if (team == nullptr) return "unknown team";
-  const bool fits = std::any_of(context_.catalog->begin(), context_.catalog->end(), [&](const wire::RigType& rig) {
-    if (!spec.allowsRig(rig.label) || !spec.each.fitsIn(rig.room)) return false;
-    return spec.yard ? std::find(rig.yards.begin(), rig.yards.end(), *spec.yard) != rig.yards.end()
-                     : !rig.yards.empty();
-  });
+  const bool fits =
+      std::any_of(context_.catalog->begin(), context_.catalog->end(), [&](const wire::RigType& rig) {
+        if (!spec.allowsRig(rig.label) || !spec.each.fitsIn(rig.room)) return false;
+        return spec.yard ? std::find(rig.yards.begin(), rig.yards.end(), *spec.yard) != rig.yards.end()
+                         : !rig.yards.empty();
+      });
   if (!fits) return "a task fits no allowed machine type";
   const double atOnce = spec.shape == wire::Shape::daemon ? spec.loads : 1;
   if ((team->cpusMax > 0 && spec.each.vcpus * atOnce > team->cpusMax + 1e-6) ||
@@ -147,7 +151,8 @@
       auto submission = submissions_.extract(refs[i]);
       const jobs::Job& job = *jobs_.find(refs[i]);
       if (!submission.empty())
-        for (const std::uint64_t request : submission.mapped().requests) context_.reply(request, 201, brief(job));
+        for (const std::uint64_t request : submission.mapped().requests)
+          context_.reply(request, 201, brief(job));
       applied_(change, refs[i]);
     }
     return;
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -30,7 +30,9 @@
 
 void Client::setLeading(bool leading) {
   const bool alone = settings_.siblings.empty();
-  const double share = (alone ? 1.0 : leading ? constants::kLeaderShare : constants::kFollowerShare) *
+  const double share = (alone     ? 1.0
+                        : leading ? constants::kLeaderShare
+                                  : constants::kFollowerShare) *
                        constants::kBudgetMargin;
   requests_.set(settings_.stateRps * share, settings_.stateRps * share);
   writes_.set(settings_.stateWriteRps * share, settings_.stateWriteRps * share);
@@ -38,8 +40,13 @@
 
 void Client::multi(Time now, Urgency urgency, const Transaction& transaction, Done done) {
   submit(now, urgency,
-         Queued{{}, "POST", "/multi", encode(transaction), static_cast<double>(transaction.writes.size()),
-                constants::kStateTimeout, std::move(done)});
+         Queued{{},
+                "POST",
+                "/multi",
+                encode(transaction),
+                static_cast<double>(transaction.writes.size()),
+                constants::kStateTimeout,
+                std::move(done)});
 }
 
 void Client::get(Time now, Urgency urgency, const std::string& key, Done done) {
@@ -49,7 +56,8 @@
 void Client::list(Time now, Urgency urgency, const std::string& prefix, const std::string& after, Done done) {
   std::string path = "/keys?under=" + prefix + "&limit=" + std::to_string(kPageItems);
   if (!after.empty()) path += "&after=" + after;
-  submit(now, urgency, Queued{{}, "GET", std::move(path), {}, 0, constants::kStateLoadTimeout, std::move(done)});
+  submit(now, urgency,
+         Queued{{}, "GET", std::move(path), {}, 0, constants::kStateLoadTimeout, std::move(done)});
 }
 
 void Client::changes(Time now, Urgency urgency, const std::string& prefix, std::uint64_t after,
@@ -61,14 +69,21 @@
 }
 
 void Client::newLease(Time now, std::chrono::milliseconds ttl, Done done) {
-  submit(now, Urgency::lease,
-         Queued{{}, "POST", "/leases", Json{{"ttlMs", ttl.count()}}, 0, constants::kStateTimeout, std::move(done)});
+  submit(
+      now, Urgency::lease,
+      Queued{
+          {}, "POST", "/leases", Json{{"ttlMs", ttl.count()}}, 0, constants::kStateTimeout, std::move(done)});
 }
 
 void Client::touchLease(Time now, std::uint64_t permit, Done done) {
   submit(now, Urgency::lease,
-         Queued{{}, "POST", "/leases/" + std::to_string(permit) + "/touch", Json::object(), 0,
-                constants::kStateTimeout, std::move(done)});
+         Queued{{},
+                "POST",
+                "/leases/" + std::to_string(permit) + "/touch",
+                Json::object(),
+                0,
+                constants::kStateTimeout,
+                std::move(done)});
 }
 
 void Client::submit(Time now, Urgency urgency, Queued request) {
@@ -79,7 +94,8 @@
 
 bool Client::send(Time now, Urgency urgency, Queued& request) {
   const bool mayOverdraw = urgency == Urgency::lease || urgency == Urgency::accept;
-  if (!mayOverdraw && (!requests_.affords(now, 1) || (request.writes > 0 && !writes_.affords(now, request.writes))))
+  if (!mayOverdraw &&
+      (!requests_.affords(now, 1) || (request.writes > 0 && !writes_.affords(now, request.writes))))
     return false;
   requests_.take(now, 1);
   if (request.writes > 0) writes_.take(now, request.writes);
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -6,11 +6,42 @@
 
 namespace {
 
-constexpr std::size_t kMaxDepth = 16;           // levels; the protocol's own messages use at most 5
-constexpr std::size_t kMaxText = 200;           // bytes of a name: the state service's longest key
-constexpr std::uint32_t kMaxLoads = 100'000;    // tasks of a job, from the protocol
-constexpr std::size_t kMaxRigs = 100;           // entries of a job's `rigs`
-constexpr double kMaxAmount = 1e12;             // amounts above this are taken for garbage
+constexpr std::size_t kMaxDepth = 16;         // levels; the protocol's own messages use at most 5
+constexpr std::size_t kMaxText = 200;         // bytes of a name: the state service's longest key
+constexpr std::uint32_t kMaxLoads = 100'000;  // tasks of a job, from the protocol
+constexpr std::size_t kMaxRigs = 100;         // entries of a job's `rigs`
+constexpr double kMaxAmount = 1e12;           // amounts above this are taken for garbage
+
+// Text that is not UTF-8 would make later formatting throw.
+bool validUtf8(std::string_view text) {
+  for (std::size_t i = 0; i < text.size();) {
+    const auto lead = static_cast<unsigned char>(text[i]);
+    std::size_t more = 0;
+    std::uint32_t point = lead;
+    if (lead >= 0xF0 && lead <= 0xF4) {
+      more = 3;
+      point = lead & 0x07U;
+    } else if (lead >= 0xE0 && lead < 0xF0) {
+      more = 2;
+      point = lead & 0x0FU;
+    } else if (lead >= 0xC2 && lead < 0xE0) {
+      more = 1;
+      point = lead & 0x1FU;
+    } else if (lead >= 0x80) {
+      return false;
+    }
+    if (text.size() - i <= more) return false;
+    for (std::size_t k = 1; k <= more; ++k) {
+      const auto next = static_cast<unsigned char>(text[i + k]);
+      if ((next & 0xC0U) != 0x80U) return false;
+      point = point << 6U | (next & 0x3FU);
+    }
+    const bool overlong = (more == 2 && point < 0x800) || (more == 3 && point < 0x10000);
+    if (overlong || (point >= 0xD800 && point < 0xE000) || point > 0x10FFFF) return false;
+    i += more + 1;
+  }
+  return true;
+}
 
 // Walks the heads of CBOR items without building anything: the recursive decoder behind it must never see
 // nesting that exhausts the stack, or a declared length that the body does not hold.
@@ -50,10 +81,13 @@
     const std::uint64_t left = bytes_.size() - at_;
     switch (major) {
       case 0:
-      case 1: return nullptr;
-      case 2: return "byte strings are not taken";
+      case 1:
+        return nullptr;
+      case 2:
+        return "byte strings are not taken";
       case 3:
         if (value > left) return "declared length beyond the body";
+        if (!validUtf8(bytes_.substr(at_, value))) return "text that is not UTF-8";
         at_ += value;
         return nullptr;
       case 4:
@@ -64,8 +98,10 @@
         if (value > left / 2) return "declared length beyond the body";
         open.push_back(2 * value);
         return nullptr;
-      case 6: return "tags are not taken";
-      default: return minor < 20 || minor == 24 ? "unknown simple value" : nullptr;
+      case 6:
+        return "tags are not taken";
+      default:
+        return minor < 20 || minor == 24 ? "unknown simple value" : nullptr;
     }
   }
 
@@ -130,17 +166,22 @@
 
 std::string_view name(LoadStage stage) {
   switch (stage) {
-    case LoadStage::pulling: return "pulling";
-    case LoadStage::waiting: return "waiting";
-    case LoadStage::running: return "running";
-    case LoadStage::saving: return "saving";
-    case LoadStage::ended: return "ended";
+    case LoadStage::pulling:
+      return "pulling";
+    case LoadStage::waiting:
+      return "waiting";
+    case LoadStage::running:
+      return "running";
+    case LoadStage::saving:
+      return "saving";
+    case LoadStage::ended:
+      return "ended";
   }
   return "ended";
 }
 
 constexpr std::pair<Cause, std::string_view> kCauses[] = {
-    {Cause::done, "done"},     {Cause::halted, "halted"}, {Cause::error, "error"},
+    {Cause::done, "done"},      {Cause::halted, "halted"}, {Cause::error, "error"},
     {Cause::noRoom, "no_room"}, {Cause::inUse, "in_use"},  {Cause::unknown, "unknown"}};
 
 // An ended task with a cause of a later protocol counts as failed: it ended, and not with `done`.
@@ -158,9 +199,12 @@
 
 std::string_view name(Verb verb) {
   switch (verb) {
-    case Verb::launch: return "launch";
-    case Verb::halt: return "halt";
-    case Verb::reap: return "reap";
+    case Verb::launch:
+      return "launch";
+    case Verb::halt:
+      return "halt";
+    case Verb::reap:
+      return "reap";
   }
   return "halt";
 }
--- a/src/wire/exchange.hpp
+++ b/src/wire/exchange.hpp
@@ -1,4 +1,5 @@
-// Calls to outside systems as values: decisions ask for them here, whoever runs the decisions carries them out.
+// Calls to outside systems as values: decisions ask for them here, whoever runs the decisions carries them
+// out.
 #pragma once
 
 #include <chrono>
--- a/src/wire/types.cpp
+++ b/src/wire/types.cpp
@@ -32,20 +32,28 @@
 
 std::string_view name(Rank rank) {
   switch (rank) {
-    case Rank::best_effort: return "best_effort";
-    case Rank::standard: return "standard";
-    case Rank::high: return "high";
-    case Rank::prod: return "prod";
+    case Rank::best_effort:
+      return "best_effort";
+    case Rank::standard:
+      return "standard";
+    case Rank::high:
+      return "high";
+    case Rank::prod:
+      return "prod";
   }
   return "standard";
 }
 
 std::string_view name(Stage stage) {
   switch (stage) {
-    case Stage::pending: return "pending";
-    case Stage::running: return "running";
-    case Stage::done: return "done";
-    case Stage::cancelled: return "cancelled";
+    case Stage::pending:
+      return "pending";
+    case Stage::running:
+      return "running";
+    case Stage::done:
+      return "done";
+    case Stage::cancelled:
+      return "cancelled";
   }
   return "pending";
 }
--- /dev/null
+++ b/tests/scenario_test.cpp
@@ -0,0 +1,309 @@
+// Runs the scenarios: one small text file each (tests/scenarios/README.md says how they are written).
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "standin/world.hpp"
+
+namespace {
+
+namespace fs = std::filesystem;
+using standin::JobPlan;
+using standin::RigSpec;
+using standin::World;
+
+struct Line {
+  int number = 0;
+  std::vector<std::string> words;
+};
+
+// name=value words of a line; a bare word counts as a flag.
+class Options {
+ public:
+  explicit Options(const std::vector<std::string>& words, std::size_t from) {
+    for (std::size_t i = from; i < words.size(); ++i) {
+      const auto equals = words[i].find('=');
+      if (equals == std::string::npos) {
+        values_[words[i]] = "";
+      } else {
+        values_[words[i].substr(0, equals)] = words[i].substr(equals + 1);
+      }
+    }
+  }
+  bool has(const std::string& key) const { return values_.contains(key); }
+  std::string text(const std::string& key, const std::string& otherwise) const {
+    const auto found = values_.find(key);
+    return found == values_.end() ? otherwise : found->second;
+  }
+  double number(const std::string& key, double otherwise) const {
+    const auto found = values_.find(key);
+    return found == values_.end() ? otherwise : std::stod(found->second);
+  }
+
+ private:
+  std::map<std::string, std::string> values_;
+};
+
+class Scenario {
+ public:
+  explicit Scenario(const fs::path& path) {
+    std::ifstream in(path);
+    std::string text;
+    for (int number = 1; std::getline(in, text); ++number) {
+      text = text.substr(0, text.find('#'));
+      std::istringstream words(text);
+      Line line{number, {}};
+      for (std::string word; words >> word;) line.words.push_back(word);
+      if (!line.words.empty()) lines_.push_back(std::move(line));
+    }
+  }
+
+  void run() {
+    settings_.reportS = 1.5;
+    settings_.leaseS = 12;
+    settings_.cancelS = 42;
+    settings_.cloudListLagS = 4;
+    settings_.zones = {"a", "b", "c"};
+    std::vector<Line> steps;
+    for (const Line& line : lines_)
+      if (!set(line)) steps.push_back(line);
+    for (std::size_t i = 0; i < 3; ++i)
+      settings_.siblings.push_back(
+          {"hoist-" + std::to_string(i), settings_.zones[i % settings_.zones.size()], "10.0.0.1:1"});
+    settings_.label = "unset";
+    settings_.cloudEndpoint = "cloud";
+    settings_.stateEndpoint = "state";
+    settings_.initialSize = 3;
+    for (RigSpec& rig : rigs_) rig.type.yards = settings_.zones;
+    World world(settings_, rigs_, limits_, seed_);
+    if (std::getenv("SCENARIO_LOG") != nullptr)
+      world.log = [](const std::string& line) { std::cout << line << "\n"; };
+    world.start();
+    for (const Line& line : steps) schedule(world, line);
+    world.sim.runUntil(end_);
+    world.checker.finish();
+    for (const std::string& broken : world.checker.broken()) ADD_FAILURE() << "broken rule: " << broken;
+  }
+
+ private:
+  bool set(const Line& line) {
+    const auto& words = line.words;
+    const Options options(words, 1);
+    const std::string& what = words[0];
+    if (what == "zones") {
+      settings_.zones.assign(words.begin() + 1, words.end());
+    } else if (what == "report") {
+      settings_.reportS = std::stod(words.at(1));
+    } else if (what == "lease") {
+      settings_.leaseS = std::stod(words.at(1));
+    } else if (what == "cancel") {
+      settings_.cancelS = std::stod(words.at(1));
+    } else if (what == "seed") {
+      seed_ = std::stoull(words.at(1));
+    } else if (what == "end") {
+      end_ = std::stod(words.at(1));
+    } else if (what == "team") {
+      settings_.teams.push_back(
+          {words.at(1), options.number("guarantee", 0), options.number("most", 0), 0, 0});
+    } else if (what == "state") {
+      limits_.rps = options.number("rps", limits_.rps);
+      limits_.writeRps = options.number("writes", limits_.writeRps);
+      limits_.txnOps = static_cast<std::size_t>(options.number("ops", static_cast<double>(limits_.txnOps)));
+      limits_.valueKb = options.number("kb", limits_.valueKb);
+    } else if (what == "rig") {
+      RigSpec rig;
+      rig.type.label = words.at(1);
+      rig.type.room = {options.number("cpus", 8), 0, options.number("mem", 32)};
+      rig.type.cacheGb = 50;
+      rig.type.pullGbPerS = options.number("pull", 1);
+      rig.type.rate = options.number("price", 0.4);
+      rig.type.marketPrice = options.number("market", 0.1);
+      rig.type.bootS = options.number("boot", 5);
+      rig.ordinary = static_cast<int>(options.number("ordinary", 10));
+      rig.spot = static_cast<int>(options.number("spot", 5));
+      rigs_.push_back(rig);
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  JobPlan job(const Line& line) const {
+    const auto& words = line.words;
+    const Options options(words, 4);
+    JobPlan plan;
+    wire_job(plan, words.at(3), options);
+    return plan;
+  }
+
+  static void wire_job(JobPlan& plan, const std::string& ref, const Options& options) {
+    auto& spec = plan.spec;
+    spec.ref.text = ref;
+    spec.lane = options.text("lane", "lane");
+    spec.crew = options.text("team", "t");
+    spec.shape = options.has("daemon") ? reachhoist::wire::Shape::daemon : reachhoist::wire::Shape::sweep;
+    const std::string rank = options.text("rank", "standard");
+    for (const auto value : {reachhoist::wire::Rank::best_effort, reachhoist::wire::Rank::standard,
+                             reachhoist::wire::Rank::high, reachhoist::wire::Rank::prod})
+      if (name(value) == rank) spec.rank = value;
+    spec.loads = static_cast<std::uint32_t>(options.number("tasks", 1));
+    spec.each = {options.number("cpus", 2), 0, options.number("mem", 2)};
+    spec.oneZone = options.has("onezone");
+    spec.apart = options.has("apart");
+    spec.loaners = options.has("spot");
+    spec.crate = options.text("crate", "img-0");
+    spec.sizeGb = options.number("size", 1);
+    plan.runS = options.number("run", 10);
+    spec.expectS = spec.shape == reachhoist::wire::Shape::sweep ? plan.runS : 0;
+    spec.stowEveryS = options.number("saves", 0);
+    spec.stowS = spec.stowEveryS > 0 ? 2 : 0;
+    if (options.has("due")) spec.dueS = options.number("due", 0);
+    if (options.has("yard")) spec.yard = options.text("yard", "");
+    plan.wrong = options.has("wrong");
+  }
+
+  std::string nodeName(const World& world, const std::string& word) const {
+    if (word == "leader") return world.leader();
+    if (word != "follower") return word;
+    for (const auto& node : world.nodes)
+      if (node->controller && !node->controller->leading()) return node->settings.label;
+    return "";
+  }
+
+  void schedule(World& world, const Line& line) {
+    const auto& words = line.words;
+    if (words[0] == "crash-on") {
+      // The controller that has just had its Nth write below a prefix applied dies before it hears of it.
+      world.state.onApplied = [this, &world, prefix = words.at(1), left = std::stoi(words.at(2)),
+                               backS = Options(words, 3).number("back", 2)](const auto& from,
+                                                                            const auto& key) mutable {
+        if (key.starts_with(prefix) && left > 0 && --left == 0) world.crash(from, backS);
+      };
+      return;
+    }
+    const double at = std::stod(words.at(1));
+    if (words[0] == "expect") {
+      world.sim.at(at, [this, &world, line] { expect(world, line); });
+    } else if (words[0] == "at") {
+      if (words.at(2) == "submit") {
+        world.sim.at(at, [&world, plan = job(line)] { world.submit(plan); });
+      } else {
+        world.sim.at(at, [this, &world, line] { act(world, line); });
+      }
+    } else {
+      ADD_FAILURE() << "line " << line.number << ": unknown step " << words[0];
+    }
+  }
+
+  void act(World& world, const Line& line) const {
+    const auto& words = line.words;
+    const std::string& what = words.at(2);
+    const Options options(words, 3);
+    const auto seconds = [&](std::size_t i) { return std::stod(words.at(i)); };
+    const auto machine = [&]() -> standin::Worker* {
+      standin::Worker* worker = world.workerRunning(words.at(3));
+      if (worker == nullptr) ADD_FAILURE() << "line " << line.number << ": no machine runs " << words.at(3);
+      return worker;
+    };
+    if (what == "resubmit") {
+      world.submit(world.jobs.at(words.at(3)));
+    } else if (what == "abort") {
+      world.abort(words.at(3));
+    } else if (what == "crash") {
+      const double back = options.number("back", 4);
+      if (words.at(3) == "all") {
+        for (const auto& node : world.nodes) world.crash(node->settings.label, back);
+      } else {
+        world.crash(nodeName(world, words.at(3)), back);
+      }
+    } else if (what == "state-outage") {
+      world.state.outage(seconds(3));
+    } else if (what == "deny") {
+      world.state.deny(nodeName(world, words.at(3)), seconds(4));
+    } else if (what == "cut") {
+      world.cut(words.at(3), words.at(4), seconds(5), words.at(6) == "hold");
+    } else if (what == "cloud-outage") {
+      world.cloudDownUntil = world.sim.now() + seconds(3);
+    } else if (what == "lose-answers") {
+      world.stateLossShare = seconds(3);
+    } else if (what == "boots-never") {
+      world.bootsNever = words.at(3) == "on";
+    } else if (what == "hang") {
+      if (auto* worker = machine()) worker->hang(seconds(4));
+    } else if (what == "kill-machine") {
+      if (auto* worker = machine()) worker->kill();
+    } else if (what == "notice") {
+      if (auto* worker = machine()) {
+        worker->notice(seconds(4));
+        world.sim.after(seconds(4), [worker] { worker->kill(); });
+      }
+    } else if (what == "sicken") {
+      if (auto* worker = machine()) worker->sick = true;
+    } else {
+      ADD_FAILURE() << "line " << line.number << ": unknown action " << what;
+    }
+  }
+
+  void expect(World& world, const Line& line) const {
+    const auto& words = line.words;
+    const std::string& what = words.at(2);
+    std::ostringstream where;
+    where << "line " << line.number << " at " << world.sim.now() << " s";
+    const auto compare = [&](double actual, std::size_t from) {
+      const double wanted = std::stod(words.at(from + 1));
+      const std::string& how = words.at(from);
+      const bool good = how == "==" ? actual == wanted : how == ">=" ? actual >= wanted : actual <= wanted;
+      EXPECT_TRUE(good) << where.str() << ": " << what << " is " << actual << ", wanted " << how << " "
+                        << wanted;
+    };
+    if (what == "running") {
+      compare(static_cast<double>(world.checker.onMachines(words.at(3))), 4);
+    } else if (what == "stage") {
+      EXPECT_EQ(world.stage[words.at(3)], words.at(4)) << where.str();
+    } else if (what == "answer") {
+      compare(world.accepted.contains(words.at(3)) ? world.accepted.at(words.at(3)) : 0, 4);
+    } else if (what == "starts") {
+      compare(static_cast<double>(world.checker.starts()), 3);
+    } else if (what == "rented") {
+      compare(static_cast<double>(world.rented), 3);
+    } else if (what == "up") {
+      double up = 0;
+      for (const auto& [host, worker] : world.workers) up += worker->alive() ? 1 : 0;
+      compare(up, 3);
+    } else {
+      ADD_FAILURE() << where.str() << ": unknown expectation " << what;
+    }
+  }
+
+  std::vector<Line> lines_;
+  reachhoist::config::Settings settings_;
+  std::vector<RigSpec> rigs_;
+  standin::StateService::Limits limits_;
+  std::uint64_t seed_ = 1;
+  double end_ = 120;
+};
+
+class Scenarios : public testing::TestWithParam<fs::path> {};
+
+TEST_P(Scenarios, KeepsTheRulesAndWhatItExpects) { Scenario(GetParam()).run(); }
+
+std::vector<fs::path> files() {
+  std::vector<fs::path> out;
+  for (const auto& entry : fs::directory_iterator(SCENARIO_DIR))
+    if (entry.path().extension() == ".txt") out.push_back(entry.path());
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
+INSTANTIATE_TEST_SUITE_P(Files, Scenarios, testing::ValuesIn(files()), [](const auto& info) {
+  std::string label = info.param.stem().string();
+  for (char& c : label)
+    if (std::isalnum(static_cast<unsigned char>(c)) == 0) c = '_';
+  return label;
+});
+
+}  // namespace
--- /dev/null
+++ b/tests/standin/checker.hpp
@@ -0,0 +1,64 @@
+// The nine rules of the protocol, checked on every step of a simulated world.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "wire/types.hpp"
+
+namespace standin {
+
+namespace wire = reachhoist::wire;
+
+struct Place {
+  std::string host;
+  std::string rig;
+  std::string yard;
+  bool loaners = false;
+};
+
+class Checker {
+ public:
+  explicit Checker(double cancelS) : cancelS_(cancelS) {}
+
+  void teamLimit(const std::string& crew, double cpus) { limits_[crew] = cpus; }
+  // What users did and were told.
+  void submitted(const wire::JobSpec& spec);
+  void submitAnswered(double at, const std::string& ref, int status, const std::string& stage);
+  void abortAsked(const std::string& ref) { abortAsked_.insert(ref); }
+  void abortAnswered(double at, const std::string& ref, int status, const std::string& stage);
+  void pollAnswered(double at, const std::string& ref, int status, const std::string& stage);
+  // What workers did.
+  void started(double at, const wire::TaskId& task, const Place& place);
+  void ended(double at, const wire::TaskId& task, const std::string& host, bool completed);
+  void tick(double at);
+  void finish();
+
+  const std::vector<std::string>& broken() const { return broken_; }
+  bool isCompleted(const wire::TaskId& task) const { return completed_.contains(task); }
+  std::size_t starts() const { return starts_; }
+  std::size_t onMachines(const std::string& ref) const;
+
+ private:
+  void breaks(double at, const std::string& rule, const std::string& what);
+  void told(double at, const std::string& ref, const std::string& stage);
+
+  double cancelS_;
+  std::map<std::string, double> limits_;
+  std::map<std::string, wire::JobSpec> jobs_;
+  std::set<std::string> accepted_;
+  std::set<std::string> abortAsked_;
+  std::map<std::string, double> cancelledAt_;
+  std::map<std::string, std::string> finalTold_;
+  std::map<std::string, double> lastPollOk_;
+  double lastAnyPollOk_ = 0;
+  std::map<wire::TaskId, std::map<std::string, Place>> on_;
+  std::set<wire::TaskId> completed_;
+  std::set<std::string> ranCancelled_;
+  std::size_t starts_ = 0;
+  std::vector<std::string> broken_;
+};
+
+}  // namespace standin
--- /dev/null
+++ b/tests/unit/checker_test.cpp
@@ -0,0 +1,146 @@
+// Each rule's check can fail: a deliberately wrong trace trips it.
+#include "standin/checker.hpp"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using standin::Checker;
+using standin::Place;
+namespace wire = reachhoist::wire;
+
+wire::JobSpec spec(const std::string& ref, std::uint32_t loads = 4) {
+  wire::JobSpec out;
+  out.ref.text = ref;
+  out.crew = std::string("t");
+  out.loads = loads;
+  out.each.vcpus = 2;
+  out.loaners = false;
+  return out;
+}
+
+wire::TaskId task(const std::string& ref, std::uint32_t index) {
+  return wire::TaskId{wire::JobRef{ref}, index};
+}
+
+Place place(const std::string& host, const std::string& yard = "a") {
+  return Place{host, "small", yard, false};
+}
+
+class Rules : public testing::Test {
+ protected:
+  Rules() : checker(42) {
+    checker.submitted(spec("job-1"));
+    checker.submitAnswered(1, "job-1", 201, "pending");
+  }
+  void expectBroken(const std::string& rule) {
+    ASSERT_FALSE(checker.broken().empty());
+    EXPECT_TRUE(checker.broken().front().starts_with(rule)) << checker.broken().front();
+  }
+  Checker checker;
+};
+
+TEST_F(Rules, AGoodTraceTripsNothing) {
+  for (std::uint32_t i = 0; i < 4; ++i) {
+    checker.started(2, task("job-1", i), place("vm-1"));
+    checker.ended(5, task("job-1", i), "vm-1", true);
+  }
+  checker.pollAnswered(6, "job-1", 200, "done");
+  checker.finish();
+  EXPECT_TRUE(checker.broken().empty());
+}
+
+TEST_F(Rules, RanTwice) {
+  checker.started(2, task("job-1", 0), place("vm-1"));
+  checker.started(3, task("job-1", 0), place("vm-2"));
+  expectBroken("ran_twice");
+}
+
+TEST_F(Rules, Quota) {
+  checker.teamLimit("t", 4);
+  for (std::uint32_t i = 0; i < 3; ++i) checker.started(2, task("job-1", i), place("vm-1"));
+  expectBroken("quota");
+}
+
+TEST_F(Rules, WrongPlaceByKindTypeAndZone) {
+  Place spot = place("vm-1");
+  spot.loaners = true;
+  checker.started(2, task("job-1", 0), spot);
+  expectBroken("wrong_place");
+}
+
+TEST_F(Rules, WrongPlaceByOneZone) {
+  wire::JobSpec job = spec("job-2");
+  job.oneZone = true;
+  checker.submitted(job);
+  checker.started(2, task("job-2", 0), place("vm-1", "a"));
+  checker.started(2, task("job-2", 1), place("vm-2", "b"));
+  expectBroken("wrong_place");
+}
+
+TEST_F(Rules, WrongPlaceByApart) {
+  wire::JobSpec job = spec("job-2", 5);
+  job.apart = true;
+  checker.submitted(job);
+  for (std::uint32_t i = 0; i < 3; ++i) checker.started(2, task("job-2", i), place("vm-1"));
+  EXPECT_TRUE(checker.broken().empty());
+  checker.started(2, task("job-2", 3), place("vm-1"));
+  expectBroken("wrong_place");
+}
+
+TEST_F(Rules, RanCancelled) {
+  checker.started(2, task("job-1", 0), place("vm-1"));
+  checker.abortAsked("job-1");
+  checker.abortAnswered(3, "job-1", 200, "cancelled");
+  checker.tick(44);
+  EXPECT_TRUE(checker.broken().empty());
+  checker.tick(45.5);
+  expectBroken("ran_cancelled");
+}
+
+TEST_F(Rules, ForgottenBy404) {
+  checker.pollAnswered(3, "job-1", 404, "");
+  expectBroken("forgotten");
+}
+
+TEST_F(Rules, ForgottenByRefusedRetry) {
+  checker.submitAnswered(3, "job-1", 422, "");
+  expectBroken("forgotten");
+}
+
+TEST_F(Rules, ForgottenByFailingPolls) {
+  checker.submitted(spec("job-2"));
+  checker.submitAnswered(1, "job-2", 201, "pending");
+  checker.pollAnswered(95, "job-2", 200, "pending");
+  checker.pollAnswered(96, "job-1", 503, "");
+  expectBroken("forgotten");
+}
+
+TEST_F(Rules, Invented) {
+  checker.pollAnswered(3, "job-7", 200, "pending");
+  expectBroken("invented");
+}
+
+TEST_F(Rules, NotDone) {
+  checker.pollAnswered(3, "job-1", 200, "done");
+  expectBroken("not_done");
+}
+
+TEST_F(Rules, WentBack) {
+  checker.abortAsked("job-1");
+  checker.abortAnswered(3, "job-1", 200, "cancelled");
+  checker.pollAnswered(4, "job-1", 200, "running");
+  expectBroken("went_back");
+}
+
+TEST_F(Rules, CancelledByNobody) {
+  checker.pollAnswered(4, "job-1", 200, "cancelled");
+  expectBroken("went_back");
+}
+
+TEST_F(Rules, NothingRan) {
+  checker.finish();
+  expectBroken("nothing_ran");
+}
+
+}  // namespace
--- /dev/null
+++ b/tests/unit/jobs_test.cpp
@@ -0,0 +1,96 @@
+#include "jobs/jobs.hpp"
+
+#include <gtest/gtest.h>
+
+#include "cluster/parts.hpp"
+#include "peer/codec.hpp"
+
+namespace {
+
+using namespace reachhoist;
+using jobs::Job;
+using jobs::JobPhase;
+using jobs::JobTable;
+using jobs::TaskPhase;
+
+Job job(std::uint32_t loads) {
+  Job out;
+  out.spec.ref.text = "job-1";
+  out.spec.lane = out.spec.crew = out.spec.crate = "x";
+  out.spec.loads = loads;
+  return out;
+}
+
+TEST(Job, CountsFollowPhases) {
+  Job one = job(3);
+  one.beginOwning({});
+  EXPECT_EQ(one.waiting, 3U);
+  one.to(0, TaskPhase::placed, {});
+  one.to(1, TaskPhase::completed, {});
+  EXPECT_EQ(one.waiting, 1U);
+  EXPECT_EQ(one.firstWaiting, 2U);
+  one.to(0, TaskPhase::waiting, {});
+  EXPECT_EQ(one.firstWaiting, 0U);
+  EXPECT_EQ(one.placed, 0U);
+}
+
+TEST(Job, DoneChunksSurviveAReload) {
+  constexpr std::uint32_t kLoads = 100'000;
+  Job one = job(kLoads);
+  one.beginOwning({});
+  for (std::uint32_t i = 0; i < kLoads; i += 3) one.to(i, TaskPhase::completed, {});
+  Job again = job(kLoads);
+  again.beginOwning({});
+  for (std::uint32_t chunk = 0; chunk * constants::kDoneChunk < kLoads; ++chunk) {
+    const std::string hex = one.doneChunk(chunk);
+    EXPECT_LE(hex.size(), 1024U);
+    ASSERT_TRUE(again.loadDoneChunk(chunk, hex, 7, {}));
+  }
+  EXPECT_EQ(again.completed, one.completed);
+  EXPECT_EQ(again.tasks, one.tasks);
+  EXPECT_FALSE(again.loadDoneChunk(0, "zz", 8, {}));
+  EXPECT_FALSE(again.loadDoneChunk(99, "00", 8, {}));
+  EXPECT_FALSE(again.loadDoneChunk(0, std::string(5000, '0'), 8, {}));
+}
+
+TEST(JobTable, OldAndMalformedRecordsChangeNothing) {
+  JobTable table;
+  const Job one = job(2);
+  EXPECT_EQ(table.apply("job-1", jobs::encodeOpen(one), 5), JobTable::Change::accepted);
+  EXPECT_EQ(table.apply("job-1", jobs::encodeFinal(one, JobPhase::cancelled), 4), JobTable::Change::none);
+  EXPECT_EQ(table.apply("job-1", jobs::encodeFinal(one, JobPhase::done), 6), JobTable::Change::ended);
+  EXPECT_EQ(table.apply("job-1", jobs::encodeOpen(one), 7), JobTable::Change::malformed);
+  EXPECT_EQ(table.apply("job-1", jobs::encodeFinal(one, JobPhase::cancelled), 8),
+            JobTable::Change::malformed);
+  EXPECT_EQ(table.find("job-1")->phase, JobPhase::done);
+  EXPECT_EQ(table.apply("job-2", wire::Json{{"phase", "odd"}}, 9), JobTable::Change::malformed);
+  EXPECT_EQ(table.apply("job-3", wire::Json::array(), 9), JobTable::Change::malformed);
+  EXPECT_EQ(table.find("job-2"), nullptr);
+}
+
+TEST(Parts, HashIsFixedForEver) {
+  // The result outlives the program: these values may never change.
+  EXPECT_EQ(cluster::partOf("vm-000231", 3), cluster::partOf("vm-000231", 3));
+  unsigned counts[3] = {};
+  for (int i = 0; i < 300; ++i) ++counts[cluster::partOf("vm-" + std::to_string(100000 + i), 3)];
+  for (const unsigned count : counts) EXPECT_GT(count, 60U);
+  EXPECT_LT(cluster::baton(3, 1000), cluster::baton(4, 0));
+}
+
+TEST(Peer, RoundTripAndMalformedFrames) {
+  const peer::Message message{"hoist-1", peer::Relay{7, std::string("\x00\x01report", 8)}};
+  const std::string frame = peer::encode(message);
+  const auto again = peer::decode(frame);
+  ASSERT_TRUE(again);
+  EXPECT_EQ(std::get<peer::Relay>(again->what).report, std::get<peer::Relay>(message.what).report);
+  peer::Progress progress{4, {{"job-1", 2, 3}}};
+  const auto shown = peer::decode(peer::encode(peer::Message{"hoist-2", progress}));
+  ASSERT_TRUE(shown);
+  EXPECT_EQ(std::get<peer::Progress>(shown->what).jobs.at(0).running, 3U);
+  EXPECT_FALSE(peer::decode(""));
+  EXPECT_FALSE(peer::decode("1234567"));
+  EXPECT_FALSE(peer::decode(std::string(64, '\xff')));
+  EXPECT_FALSE(peer::decode(frame.substr(0, 8)));
+}
+
+}  // namespace
--- /dev/null
+++ b/tests/unit/settings_test.cpp
@@ -0,0 +1,90 @@
+#include "config/settings.hpp"
+
+#include <gtest/gtest.h>
+
+#include "wire/codec.hpp"
+
+namespace {
+
+using reachhoist::config::parseOperators;
+using reachhoist::config::parsePlatform;
+using reachhoist::config::Settings;
+using Json = nlohmann::json;
+
+Json good() {
+  return Json::parse(R"({
+    "label": "hoist-0", "area": "a", "bind": "10.0.0.1:8080", "peer_listen": "10.0.0.1:8081",
+    "siblings": [{"label": "hoist-1", "area": "b", "endpoint": "10.0.0.2:8081"}],
+    "endpoints": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
+    "facts": {
+      "initial_size": 3, "zones": ["a", "b"],
+      "teams": [{"name": "t", "cpus": 24, "cpus_max": 40, "gpus": 0, "gpus_max": 0}],
+      "objectives": [{"kind": "wait", "class": "x", "within_s": 60, "share": 0.9}, {"kind": "guarantee", "within_s": 5}],
+      "workers": {"report_s": 1.5, "lease_s": 12, "cancel_s": 42, "gang_wait_s": 40},
+      "state": {"rps": 200, "write_rps": 40, "value_kb": 32, "txn_ops": 16},
+      "cloud": {"rps": 3, "list_lag_s": 10},
+      "limits": {"core_share": 0.12, "ram_mb": 72, "max_connections": 1000},
+      "clock_off_ms": 5}, "some_later_field": {}})");
+}
+
+TEST(Platform, GoodFileAndWindows) {
+  Settings settings;
+  const auto problem = parsePlatform(good().dump(), settings);
+  ASSERT_FALSE(problem) << problem->field << " " << problem->reason;
+  EXPECT_EQ(settings.team("t")->cpusMax, 40);
+  EXPECT_EQ(settings.objectives.size(), 2U);
+  // A lease renewed at the end of the window has run out, on any clock, before cancel_s is over.
+  EXPECT_LT(settings.answerWindow().count() + settings.leaseS * 1000, settings.cancelS * 1000);
+  EXPECT_GT(settings.answerWindow().count(), settings.reportS * 1000);
+  EXPECT_GT(settings.leaseOver().count(), settings.leaseS * 1000 + 1000);
+}
+
+TEST(Platform, ProblemsNameTheField) {
+  const std::vector<std::tuple<const char*, Json, const char*>> wrong = {
+      {"/label", 3, "label"},
+      {"/bind", "nowhere", "bind"},
+      {"/siblings/0/endpoint", nullptr, "siblings[0].endpoint"},
+      {"/endpoints/state", "", "endpoints.state"},
+      {"/facts/workers/lease_s", "long", "facts.workers.lease_s"},
+      {"/facts/workers/lease_s", 41, "facts.workers.cancel_s"},
+      {"/facts/state/txn_ops", 2, "facts.state.txn_ops"},
+      {"/facts/teams/0/cpus_max", -1, "facts.teams[0].cpus_max"},
+      {"/facts/limits/max_connections", 10, "facts.limits.max_connections"},
+  };
+  for (const auto& [path, value, field] : wrong) {
+    Json body = good();
+    body[Json::json_pointer(path)] = value;
+    Settings settings;
+    const auto problem = parsePlatform(body.dump(), settings);
+    ASSERT_TRUE(problem) << path;
+    EXPECT_EQ(problem->field, field);
+  }
+  Settings settings;
+  EXPECT_TRUE(parsePlatform("{", settings));
+  EXPECT_TRUE(parsePlatform("[]", settings));
+}
+
+TEST(Operators, ValuesAndDefaults) {
+  Settings settings;
+  ASSERT_FALSE(parseOperators("# comment\nsizing {\n  round_s = 20\n  spare_share = 0.25\n}\n", settings));
+  EXPECT_EQ(settings.operators.sizingRoundS, 20);
+  EXPECT_EQ(settings.operators.spareShare, 0.25);
+  EXPECT_EQ(settings.operators.scaleUpCooldownS, 60);
+  ASSERT_FALSE(parseOperators("", settings));
+}
+
+TEST(Operators, UnknownKeysAndBadValuesAreNamed) {
+  Settings settings;
+  for (const char* text :
+       {"sizing { rounds = 3 }", "other { }", "sizing { round_s = fast }", "sizing { round_s = 1 }",
+        "sizing { step_divisor = 2.5 }", "sizing { round_s = ", "sizing = 4"}) {
+    const auto problem = parseOperators(text, settings);
+    ASSERT_TRUE(problem) << text;
+    EXPECT_FALSE(problem->field.empty());
+    EXPECT_EQ(problem->reason.find('\n'), std::string::npos);
+  }
+  EXPECT_EQ(parseOperators("sizing { round_s = 1 }", settings)->field, "sizing.round_s");
+  EXPECT_NE(parseOperators("sizing { rounds = 3 }", settings)->reason.find("rounds"), std::string::npos);
+}
+
+}  // namespace
--- /dev/null
+++ b/tests/unit/state_test.cpp
@@ -0,0 +1,106 @@
+#include <gtest/gtest.h>
+
+#include "state/feed.hpp"
+#include "state/transaction.hpp"
+
+namespace {
+
+using namespace reachhoist;
+using state::Budget;
+using wire::Json;
+
+wire::Time at(double s) { return wire::Time{} + std::chrono::hours(1) + wire::seconds(s); }
+
+TEST(Budget, RefillsBurstsAndDebt) {
+  Budget budget(10, 10);
+  EXPECT_TRUE(budget.affords(at(0), 10));
+  budget.take(at(0), 10);
+  EXPECT_FALSE(budget.affords(at(0.05), 1));
+  EXPECT_TRUE(budget.affords(at(0.11), 1));
+  // A cost above the burst goes through once the bucket is full, and the rest waits for the debt.
+  EXPECT_TRUE(budget.affords(at(2), 25));
+  budget.take(at(2), 25);
+  EXPECT_FALSE(budget.affords(at(3), 1));
+  EXPECT_TRUE(budget.affords(at(3.7), 1));
+}
+
+struct Rig {
+  config::Settings settings;
+  wire::Calls calls;
+  state::Client client{calls, settings};
+  Rig() { settings.stateEndpoint = "state"; }
+};
+
+state::Transaction one() { return state::Transaction{{{"a", 3}}, {{"a", Json{{"x", 1}}, std::nullopt}}}; }
+
+TEST(Committer, ALostAnswerIsReadBack) {
+  Rig rig;
+  state::Committer committer(rig.client, "me-");
+  std::optional<state::Outcome> outcome;
+  committer.commit(at(0), state::Urgency::place, one(), [&](const auto& o) { outcome = o; });
+  auto calls = rig.calls.drain();
+  ASSERT_EQ(calls.size(), 1U);
+  const Json written = calls[0].body["apply"][0]["value"];
+  rig.calls.complete(calls[0].number, wire::CallResult{0, true, {}});
+  EXPECT_FALSE(outcome);
+  committer.tick(at(1));
+  calls = rig.calls.drain();
+  ASSERT_EQ(calls.size(), 1U);
+  EXPECT_EQ(calls[0].path, "/multi");
+  // The first try had been carried out: its own change makes the condition fail now.
+  rig.calls.complete(calls[0].number, wire::CallResult{409, true, Json{{"failed", Json::array({"a"})}}});
+  EXPECT_FALSE(outcome);
+  calls = rig.calls.drain();
+  ASSERT_EQ(calls.size(), 1U);
+  EXPECT_EQ(calls[0].path, "/keys/a");
+  rig.calls.complete(calls[0].number, wire::CallResult{200, true, Json{{"value", written}, {"stamp", 9}}});
+  ASSERT_TRUE(outcome);
+  EXPECT_EQ(outcome->verdict, state::Verdict::applied);
+  EXPECT_EQ(outcome->stamp, 9U);
+}
+
+TEST(Committer, AConflictWithoutALostAnswerIsRefusedAtOnce) {
+  Rig rig;
+  state::Committer committer(rig.client, "me-");
+  std::optional<state::Outcome> outcome;
+  committer.commit(at(0), state::Urgency::place, one(), [&](const auto& o) { outcome = o; });
+  rig.calls.complete(rig.calls.drain()[0].number,
+                     wire::CallResult{409, true, Json{{"failed", Json::array({"a"})}}});
+  ASSERT_TRUE(outcome);
+  EXPECT_EQ(outcome->verdict, state::Verdict::refused);
+  EXPECT_EQ(outcome->failed, std::vector<std::string>{"a"});
+}
+
+TEST(Committer, SomebodyElsesValueMeansRefused) {
+  Rig rig;
+  state::Committer committer(rig.client, "me-");
+  std::optional<state::Outcome> outcome;
+  committer.commit(at(0), state::Urgency::place, one(), [&](const auto& o) { outcome = o; });
+  rig.calls.complete(rig.calls.drain()[0].number, wire::CallResult{0, true, {}});
+  committer.tick(at(1));
+  rig.calls.complete(rig.calls.drain()[0].number,
+                     wire::CallResult{409, true, Json{{"failed", Json::array({"a"})}}});
+  rig.calls.complete(rig.calls.drain()[0].number,
+                     wire::CallResult{200, true, Json{{"value", {{"mark", "other-1"}}}, {"stamp", 9}}});
+  ASSERT_TRUE(outcome);
+  EXPECT_EQ(outcome->verdict, state::Verdict::refused);
+}
+
+TEST(Client, UrgentCallsOverdrawAndOthersWait) {
+  Rig rig;
+  rig.settings.siblings.push_back({"b", "z", "10.0.0.1:1"});
+  rig.settings.stateWriteRps = 10;
+  rig.client.setLeading(false);
+  int sent = 0;
+  for (int i = 0; i < 20; ++i) rig.client.multi(at(0), state::Urgency::complete, one(), [](const auto&) {});
+  sent = static_cast<int>(rig.calls.drain().size());
+  EXPECT_LE(sent, 2);
+  rig.client.multi(at(0), state::Urgency::accept, one(), [](const auto&) {});
+  EXPECT_EQ(rig.calls.drain().size(), 1U);
+  bool late = false;
+  rig.client.multi(at(0), state::Urgency::rest, one(), [&](const auto& result) { late = !result.sent; });
+  rig.client.pump(at(10));
+  EXPECT_TRUE(late);
+}
+
+}  // namespace
--- /dev/null
+++ b/tests/unit/wire_test.cpp
@@ -0,0 +1,141 @@
+#include <gtest/gtest.h>
+
+#include <limits>
+
+#include "wire/codec.hpp"
+
+namespace {
+
+using namespace reachhoist::wire;
+
+Json goodJob() {
+  return Json{{"ref", "job-000412"}, {"lane", "train"},    {"crew", "vision"}, {"shape", "sweep"},
+              {"rank", "high"},      {"loads", 16},        {"vcpus", 8.0},     {"accelerators", 1.0},
+              {"memoryGb", 64.0},    {"crate", "img"},     {"sizeGb", 6.2},    {"rigs", Json::array({"g8"})},
+              {"yard", nullptr},     {"oneZone", true},    {"apart", false},   {"loaners", true},
+              {"expectS", 240.0},    {"stowEveryS", 30.0}, {"stowS", 4.0},     {"dueS", 900.0}};
+}
+
+TEST(Job, RoundTrip) {
+  const auto job = decodeJob(goodJob());
+  ASSERT_TRUE(job) << job.reason();
+  const auto again = decodeJob(encodeJob(*job));
+  ASSERT_TRUE(again);
+  EXPECT_EQ(encodeJob(*again), encodeJob(*job));
+  EXPECT_EQ(again->rank, Rank::high);
+  EXPECT_EQ(again->dueS, 900.0);
+  EXPECT_FALSE(again->yard);
+}
+
+TEST(Job, NullAndAbsentAreTheSame) {
+  Json body = goodJob();
+  for (const char* key : {"rigs", "yard", "dueS"}) {
+    body.erase(key);
+    EXPECT_TRUE(decodeJob(body)) << key;
+    body[key] = nullptr;
+    EXPECT_TRUE(decodeJob(body)) << key;
+  }
+}
+
+TEST(Job, UnknownFieldsAreIgnored) {
+  Json body = goodJob();
+  body["novelty"] = Json::array({1, 2});
+  EXPECT_TRUE(decodeJob(body));
+}
+
+TEST(Job, MissingFieldsAreNamed) {
+  const Json good = goodJob();
+  for (const auto& [key, value] : good.items()) {
+    if (key == "rigs" || key == "yard" || key == "dueS") continue;
+    Json body = goodJob();
+    body.erase(key);
+    const auto job = decodeJob(body);
+    ASSERT_FALSE(job) << key;
+    EXPECT_NE(job.reason().find(key), std::string::npos) << job.reason();
+  }
+}
+
+TEST(Job, InvalidValuesAreRefused) {
+  const std::vector<std::pair<const char*, Json>> wrong = {
+      {"loads", 0},
+      {"loads", 100001},
+      {"loads", -1},
+      {"loads", 1.5},
+      {"loads", "3"},
+      {"vcpus", -1.0},
+      {"vcpus", std::numeric_limits<double>::quiet_NaN()},
+      {"memoryGb", std::numeric_limits<double>::infinity()},
+      {"ref", "job-"},
+      {"ref", "task-1"},
+      {"ref", "job-1/2"},
+      {"ref", "job-1 "},
+      {"ref", 7},
+      {"crew", ""},
+      {"lane", std::string(300, 'x')},
+      {"shape", "ensemble"},
+      {"rank", "urgent"},
+      {"oneZone", 1},
+      {"rigs", "g8"},
+      {"rigs", Json::array({1})},
+      {"yard", 3},
+      {"dueS", -5.0},
+      {"stowS", "4"}};
+  for (const auto& [key, value] : wrong) {
+    Json body = goodJob();
+    body[key] = value;
+    EXPECT_FALSE(decodeJob(body)) << key << " = " << value;
+  }
+}
+
+TEST(Cbor, HostileBodiesAreRefusedBeforeAnythingIsBuilt) {
+  EXPECT_FALSE(decodeBody(""));
+  EXPECT_FALSE(decodeBody(std::string(60000, '\x81')));  // arrays nested 60,000 deep
+  EXPECT_FALSE(decodeBody(std::string("\x9b\xff\xff\xff\xff\xff\xff\xff\xff", 9)));  // 2^64 items declared
+  EXPECT_FALSE(decodeBody(std::string("\xbb\x7f\xff\xff\xff\xff\xff\xff\xff", 9)));
+  EXPECT_FALSE(
+      decodeBody(std::string("\x7a\xff\xff\xff\xff"
+                             "abc",
+                             8)));                               // text longer than the body
+  EXPECT_FALSE(decodeBody(std::string("\x42\x01\x02", 3)));      // byte string
+  EXPECT_FALSE(decodeBody(std::string("\x01\x02", 2)));          // trailing byte
+  EXPECT_FALSE(decodeBody(std::string("\x9f\x01\xff", 3)));      // indefinite length
+  EXPECT_FALSE(decodeBody(std::string("\xc1\x01", 2)));          // tag
+  EXPECT_FALSE(decodeBody(std::string("\x61\xff", 2)));          // not UTF-8
+  EXPECT_FALSE(decodeBody("{\"ref\":1}"));                       // JSON is not CBOR
+  EXPECT_FALSE(decodeBody(std::string("\x63\xed\xa0\x80", 4)));  // a surrogate
+  EXPECT_TRUE(decodeBody(encodeBody(Json("\u00e4\u20ac\U0001F600"))));
+  const auto good = decodeBody(encodeBody(goodJob()));
+  ASSERT_TRUE(good);
+  EXPECT_EQ(*good, goodJob());
+}
+
+TEST(Report, RoundTripAndUnknownCause) {
+  Report report;
+  report.host.text = "vm-000231";
+  report.endpoint = "10.1.0.232:9000";
+  report.rig = "g8";
+  report.yard = "a";
+  report.shift = 1;
+  report.tally = 88;
+  report.baton = 1ULL << 62U;
+  report.loads.push_back(LoadState{*parseTaskId("job-000412/3"), 2, LoadStage::running, Cause::none, false});
+  report.loads.push_back(LoadState{*parseTaskId("job-000398/0"), 1, LoadStage::ended, Cause::done, false});
+  Json body = encodeReport(report);
+  const auto again = decodeReport(body);
+  ASSERT_TRUE(again) << again.reason();
+  EXPECT_EQ(again->baton, report.baton);
+  EXPECT_EQ(again->loads.at(1).cause, Cause::done);
+  body["loads"][1]["cause"] = "some later word";
+  EXPECT_EQ(decodeReport(body)->loads.at(1).cause, Cause::error);
+  body["loads"][1]["stage"] = "some later stage";
+  EXPECT_FALSE(decodeReport(body));
+}
+
+TEST(TaskId, Parsing) {
+  EXPECT_EQ(parseTaskId("job-12/7")->index, 7U);
+  for (const char* wrong :
+       {"job-12", "job-12/", "job-12/x", "job-12/-1", "job-12/4294967296", "x/1", "/1", ""})
+    EXPECT_FALSE(parseTaskId(wrong)) << wrong;
+}
+
+}  // namespace
