--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -42,6 +42,8 @@
 inline constexpr int kRetryAfterS = 1;             // s; the shortest that the protocol lets users retry
 inline constexpr milliseconds kRelayTimeout = 3s;  // below the 4 s after which a worker moves on
 inline constexpr milliseconds kRelayMemory = 8s;   // a worker back within this could not reach its owner
+inline constexpr milliseconds kRelayFor = 30s;     // then the direct way is tried again
+inline constexpr double kReturnedMemory = 4.0;  // list lags for which a returned machine is not believed back
 
 // --- Network --------------------------------------------------------------------------------------------
 inline constexpr milliseconds kConnectTimeout = 1500ms;  // three retransmissions on these networks
@@ -71,6 +73,7 @@
 
 // --- Machines -------------------------------------------------------------------------------------------
 inline constexpr double kSilentReports = 3.0;  // missed reports after which a machine gets no new work
+inline constexpr double kQuietReports = 1.6;   // overdue this many reports: counts towards a cut zone
 inline constexpr double kBootPatience = 3.0;   // times bootS before a machine counts as never coming
 inline constexpr milliseconds kBootPatienceLeast =
     60s;                                            // least patience; some machines take several times longer
--- a/src/service/controller.cpp
+++ b/src/service/controller.cpp
@@ -76,8 +76,8 @@
   if (owner_) owner_->tick();
   fetchCatalog();
   if (now >= nextBeat_) beat();
-  std::erase_if(redirects_,
-                [now](const auto& entry) { return now - entry.second.at > constants::kRelayMemory; });
+  std::erase_if(detours_,
+                [now](const auto& entry) { return now - entry.second.lastSeen > 2 * constants::kRelayFor; });
   for (auto relay = relays_.begin(); relay != relays_.end();) {
     if (relay->second.deadline > now) {
       ++relay;
@@ -177,16 +177,25 @@
   const std::string& owner = leadership_.leader();
   if (owner.empty() || owner == settings_.label || settings_.sibling(owner) == nullptr)
     return context_.later(request);
-  const auto sent = redirects_.find(report.host.text);
-  if (sent != redirects_.end() && sent->second.to == owner) {
-    // It was told where to go and is back: it can't reach the owner, but perhaps we can.
-    sent->second.at = context_.now;
+  Detour& detour = detours_[report.host.text];
+  if (detour.owner != owner) detour = Detour{owner, {}, {}, {}};
+  detour.lastSeen = context_.now;
+  // It has been commanded under this term, or was sent to the owner a moment ago, and is here all the same:
+  // it can't reach the owner, but perhaps we can. Now and then it is sent back, in case the way is open
+  // again.
+  const bool left = report.baton >= cluster::baton(leadership_.term(), 0) ||
+                    context_.now - detour.redirectedAt < constants::kRelayMemory;
+  const bool enough =
+      detour.relayedSince != Time{} && context_.now - detour.relayedSince > constants::kRelayFor;
+  if (left && !enough) {
+    if (detour.relayedSince == Time{}) detour.relayedSince = context_.now;
     const std::uint64_t number = nextRelay_++;
     relays_[number] = RelayOut{request, context_.now + constants::kRelayTimeout};
     context_.peerOut.push_back(PeerSend{owner, peer::Message{settings_.label, peer::Relay{number, body}}});
     return;
   }
-  redirects_[report.host.text] = Redirect{context_.now, owner};
+  detour.redirectedAt = context_.now;
+  detour.relayedSince = Time{};
   context_.reply(request, 421, Json{{"foreman", owner}});
 }
 
--- a/src/service/controller.hpp
+++ b/src/service/controller.hpp
@@ -67,11 +67,13 @@
   int beats_ = 0;
   std::uint64_t progressTerm_ = 0;
 
-  struct Redirect {
-    Time at{};
-    std::string to;
+  struct Detour {
+    std::string owner;
+    Time redirectedAt{};
+    Time relayedSince{};  // unset: not relayed
+    Time lastSeen{};
   };
-  std::map<std::string, Redirect> redirects_;  // host -> when it was last sent to the owner
+  std::map<std::string, Detour> detours_;  // by host: workers that came here though another owns them
   struct RelayOut {
     std::uint64_t request = 0;
     Time deadline{};
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -146,6 +146,7 @@
   std::unique_ptr<cloud::Client> cloud_;
   fleet::Sizing sizing_;
   std::map<cloud::PoolKey, Time> refusedUntil_;
+  std::map<std::string, Time> returnedUntil_;  // lists older than the return still name them
   Time nextShortfall_{};
   std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> shown_;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
--- a/src/service/owner_fleet.cpp
+++ b/src/service/owner_fleet.cpp
@@ -47,16 +47,19 @@
     // A placement whose outcome is still open finds nothing left to launch, and that is right.
     for (Attempt& attempt : machine->attempts) release(*machine, attempt, "machine gone");
     machines_.remove(host);
+    returnedUntil_[host] =
+        context_.now + wire::seconds(constants::kReturnedMemory * context_.settings.cloudListLagS);
   }
   planDue_ = true;
 }
 
 void Owner::onListed(const std::vector<wire::HostEntry>& hosts) {
+  std::erase_if(returnedUntil_, [this](const auto& entry) { return entry.second <= context_.now; });
   for (const wire::HostEntry& entry : hosts) {
     Machine* machine = machines_.find(entry.ref.text);
     const double lagS = 2 * context_.settings.cloudListLagS;
     if (machine == nullptr) {
-      // A list may show machines that we returned a moment ago; those are asked back once more, harmlessly.
+      if (returnedUntil_.contains(entry.ref.text)) continue;
       Machine& stranger = machines_.add(entry.ref.text);
       stranger.rig = entry.rig;
       stranger.yard = entry.yard;
--- a/src/service/owner_workers.cpp
+++ b/src/service/owner_workers.cpp
@@ -387,15 +387,17 @@
   nextSilenceCheck_ = context_.now + constants::kTick * 10;
   const config::Settings& settings = context_.settings;
   const auto silentFor = wire::seconds(settings.reportS * constants::kSilentReports + 2);
-  int up = 0;
-  int silent = 0;
+  // Several quiet machines of one zone are more likely cut off than dead, and relay needs a while to find its
+  // way: condemning them would throw away work that runs. Then only the lease decides.
+  const auto quietFor = wire::seconds(settings.reportS * constants::kQuietReports);
+  std::map<std::string, int> up;
+  std::map<std::string, int> quiet;
   for (const auto& [host, machine] : machines_.all()) {
     if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::draining) continue;
-    ++up;
-    if (context_.now - machine.lastHeard > silentFor) ++silent;
+    ++up[machine.yard];
+    if (context_.now - machine.lastHeard > quietFor) ++quiet[machine.yard];
   }
-  // Many silent at once are more likely cut off than dead: then only the lease decides.
-  const bool cut = silent > 2 && silent * 3 > up;
+  const auto cut = [&](const std::string& yard) { return quiet[yard] > 1 && quiet[yard] * 4 > up[yard]; };
   const bool settled = context_.now - actingSince_ > silentFor && mayAnswer();
   for (auto& [host, machine] : machines_.all()) {
     if (machine.phase == MachinePhase::gone) continue;
@@ -408,7 +410,8 @@
       releaseAll(machine, "lease over");
     }
     if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::draining) continue;
-    if (settled && context_.now - machine.lastHeard > silentFor && (over || !cut)) condemn(machine, "silent");
+    if (settled && context_.now - machine.lastHeard > silentFor && (over || !cut(machine.yard)))
+      condemn(machine, "silent");
   }
 }
 
