--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -96,6 +96,23 @@
 inline constexpr int kStepLeast = -1;             // units removed at most, SAIR's action set
 inline constexpr milliseconds kQueueTarget = 5s;  // queue wait a pool aims at when no aim names one
 
+inline constexpr double kWaitWeight = 0.7;       // payoff's weight on the drop of queue wait (SAIR's w_L)
+inline constexpr double kCostWeight = 0.3;       // payoff's weight on the rise of cost (SAIR's w_C)
+inline constexpr double kProactiveWeight = 0.3;  // payoff's bonus for acting under a violation (SAIR)
+inline constexpr double kDominatedPayoff = 0.8;  // most that a dominated outcome earns (SAIR's margin of 0.2)
+inline constexpr double kPayoffMost = 2.0;       // payoffs are clipped to this, both ways (SAIR's R_max)
+inline constexpr double kDiversityWeight = 0.1;  // of retrieval (SAIR's lambda_div)
+inline constexpr double kContextSigma = 0.35;    // width of similarity over features scaled to 0..1 (ours)
+inline constexpr double kCloseEnough = 0.6;      // similarity from which an episode counts as close (ours)
+inline constexpr std::size_t kBufferMost = 200;  // episodes kept; the oldest leave (ours)
+inline constexpr std::size_t kCopyMost =
+    80;  // episodes of the stored copy: about 4 KB, below any value limit
+inline constexpr std::size_t kFrontierMost = 32;  // points kept (ours)
+inline constexpr milliseconds kCopyEvery = 60s;   // the buffer's copy in the state service (DESIGN)
+inline constexpr double kWaitMostTargets = 6.0;   // targets of wait at which normalised wait reaches 1 (ours)
+inline constexpr double kPoolMost =
+    16.0;  // machines at which the size feature and normalised cost reach 1 (ours)
+
 // --- Fleet: extensions ----------------------------------------------------------------------------------
 inline constexpr milliseconds kShortfallEvery = 1s;  // how often waiting work without room is looked for
 inline constexpr milliseconds kRefusedPause = 20s;   // a pool that refused a rental is not asked before
--- /dev/null
+++ b/src/fleet/episodes.hpp
@@ -0,0 +1,88 @@
+// What sizing has learned: successful episodes, the payoff that judges them, the frontier, and retrieval.
+// Formulas after "SAIR: Cost-Efficient Multi-Stage ML Pipeline Autoscaling via In-Context Reinforcement
+// Learning".
+#pragma once
+
+#include <array>
+#include <optional>
+#include <vector>
+
+#include "wire/codec.hpp"
+
+namespace reachhoist::fleet {
+
+using wire::Json;
+
+// What a pool looks like when a step is chosen, each feature scaled to about 0..1.
+constexpr std::size_t kFeatures = 5;
+using Context = std::array<double, kFeatures>;  // queue wait, queued tasks, busy share, idle share, size
+
+struct Episode {
+  Context context{};
+  int units = 0;
+  double payoff = 0;
+};
+
+struct Point {
+  double wait = 0;  // normalised, 0..1
+  double cost = 0;
+};
+
+// The non-dominated points of normalised wait and cost.
+class Frontier {
+ public:
+  bool nonDominated(const Point& point) const;
+  // Area that the point adds to what the frontier dominates, up to the reference point (1, 1).
+  double contribution(const Point& point) const;
+  double distance(const Point& point) const;
+  void update(const Point& point);
+  const std::vector<Point>& points() const { return points_; }
+  void set(std::vector<Point> points) { points_ = std::move(points); }
+
+ private:
+  std::vector<Point> points_;
+};
+
+struct Outcome {
+  double waitBeforeS = 0;
+  double waitAfterS = 0;
+  double waitBaselineS = 1;  // scale of the wait drop
+  double waitMostS = 1;      // L_max of the normalisation
+  double targetS = 1;
+  double costBefore = 0;  // price per hour
+  double costAfter = 0;
+  double costBudget = 1;  // scale of the cost rise
+  double costMost = 1;
+  int units = 0;
+};
+
+Point normalised(const Outcome& outcome);
+double payoff(const Outcome& outcome, const Frontier& frontier);
+
+double similarity(const Context& a, const Context& b);
+
+class Buffer {
+ public:
+  // Only successes are stored; the oldest leave when the buffer is full.
+  void add(const Episode& episode);
+  // Greedy: similarity times leave-one-out surprise, less the diversity penalty.
+  std::vector<Episode> retrieve(const Context& now, std::size_t count) const;
+  const std::vector<Episode>& all() const { return episodes_; }
+
+  Json encode() const;
+  // False: malformed, nothing was taken.
+  bool decode(const Json& value);
+
+ private:
+  std::vector<Episode> episodes_;
+};
+
+// The step with the best similarity-weighted payoff among those retrieved; nothing when none is close.
+struct Choice {
+  int units = 0;
+  double value = 0;
+  std::size_t support = 0;
+};
+std::optional<Choice> choose(const std::vector<Episode>& retrieved, const Context& now);
+
+}  // namespace reachhoist::fleet
--- a/src/fleet/sizing.cpp
+++ b/src/fleet/sizing.cpp
@@ -6,42 +6,89 @@
 
 namespace {
 constexpr double kLowShare = 0.5;  // a pool less busy than this, without a queue, is a unit too large
-}
+
+double targetS() { return wire::toSeconds(constants::kQueueTarget); }
+}  // namespace
 
 int unitOf(int machines, int divisor) { return std::max(1, machines / std::max(1, divisor)); }
 
-int Sizing::clamp(const PoolView& pool, PoolState& state, int units, Time now) const {
+// The validator: the nearest step that the limits and cooldowns allow.
+int Sizing::clamp(const PoolView& pool, const PoolState& state, int units, Time now) const {
   units = std::clamp(units, constants::kStepLeast, constants::kStepMost);
-  if (units > 0 && state.lastUp != Time{} &&
-      now - state.lastUp < wire::seconds(settings_.operators.scaleUpCooldownS))
+  if (units > 0 &&
+      (pool.refused ||
+       (state.lastUp != Time{} && now - state.lastUp < wire::seconds(settings_.operators.scaleUpCooldownS))))
     return 0;
-  if (units < 0 && ((state.lastDown != Time{} &&
-                     now - state.lastDown < wire::seconds(settings_.operators.scaleDownCooldownS)) ||
-                    pool.idle == 0))
+  if (units < 0 &&
+      (pool.idle == 0 || (state.lastDown != Time{} &&
+                          now - state.lastDown < wire::seconds(settings_.operators.scaleDownCooldownS))))
     return 0;
   return units;
 }
 
+int Sizing::followQueue(const PoolView& pool) const {
+  if (pool.queueWaitS > 2 * targetS()) return 2;
+  if (pool.queueWaitS > targetS()) return 1;
+  return pool.queueWaitS == 0 && pool.busyShare < kLowShare ? -1 : 0;
+}
+
+Context Sizing::contextOf(const PoolView& pool) const {
+  const double machines = std::max(1, pool.machines);
+  const auto scaled = [](double value, double most) { return std::clamp(value / most, 0.0, 1.0); };
+  return Context{scaled(pool.queueWaitS, constants::kWaitMostTargets * targetS()),
+                 scaled(pool.queuedTasks, 8 * machines), pool.busyShare, pool.idle / machines,
+                 scaled(pool.machines, constants::kPoolMost)};
+}
+
+void Sizing::score(const PoolView& pool, PoolState& state) {
+  if (!state.open) return;
+  Outcome outcome = state.open->before;
+  outcome.waitAfterS = pool.queueWaitS;
+  outcome.costAfter = pool.machines * pool.ratePerHour;
+  const double value = payoff(outcome, frontier_);
+  buffer_.add(Episode{state.open->context, outcome.units, value});
+  frontier_.update(normalised(outcome));
+  state.open.reset();
+}
+
 std::vector<Step> Sizing::round(Time now, const std::vector<PoolView>& pools) {
   next_ = now + wire::seconds(settings_.operators.sizingRoundS);
   std::vector<Step> steps;
-  const double target = wire::toSeconds(constants::kQueueTarget);
   for (const PoolView& pool : pools) {
+    PoolState& state = states_[pool.key];
+    score(pool, state);
     // A pool of zero has no eighth: how it starts is the shortfall extension's affair.
     if (pool.machines == 0) continue;
-    PoolState& state = states_[pool.key];
+    const Context context = contextOf(pool);
     int units = 0;
-    if (pool.queueWaitS > 2 * target) {
-      units = 2;
-    } else if (pool.queueWaitS > target) {
-      units = 1;
-    } else if (pool.queueWaitS == 0 && pool.busyShare < kLowShare) {
-      units = -1;
+    std::string why;
+    if (std::bernoulli_distribution(probeChance_)(random_)) {
+      units = std::uniform_int_distribution<int>(constants::kStepLeast, constants::kStepMost)(random_);
+      why = "probe";
+    } else {
+      const auto retrieved =
+          buffer_.retrieve(context, static_cast<std::size_t>(settings_.operators.episodes));
+      if (const auto choice = choose(retrieved, context)) {
+        units = choice->units;
+        why = "episodes:" + std::to_string(choice->support) + ",value:" + std::to_string(choice->value);
+      } else {
+        units = followQueue(pool);
+        why = "queue";
+      }
     }
-    units = clamp(pool, state, pool.refused && units > 0 ? 0 : units, now);
+    units = clamp(pool, state, units, now);
+    Outcome before;
+    before.waitBeforeS = pool.queueWaitS;
+    before.waitBaselineS = constants::kWaitMostTargets * targetS();
+    before.waitMostS = before.waitBaselineS;
+    before.targetS = targetS();
+    before.costBefore = pool.machines * pool.ratePerHour;
+    before.costBudget = constants::kPoolMost * std::max(pool.ratePerHour, 1e-6);
+    before.costMost = before.costBudget;
+    before.units = units;
+    state.open = Open{context, before};
     if (units == 0) continue;
-    Step step{pool.key, units, units * unitOf(pool.machines, settings_.operators.stepDivisor),
-              "follows its queue"};
+    Step step{pool.key, units, units * unitOf(pool.machines, settings_.operators.stepDivisor), why};
     if (units > 0) {
       state.previousUp = state.lastUp;
       state.lastUp = now;
@@ -51,12 +98,39 @@
     }
     steps.push_back(std::move(step));
   }
+  probeChance_ = std::max(settings_.operators.probeFloor, probeChance_ * settings_.operators.probeDecay);
   return steps;
 }
 
 void Sizing::refused(const PoolKey& pool) {
   PoolState& state = states_[pool];
   state.lastUp = state.previousUp;
+  state.open.reset();
+}
+
+Json Sizing::encode() const {
+  Json points = Json::array();
+  for (const Point& point : frontier_.points()) points.push_back(Json::array({point.wait, point.cost}));
+  return Json{{"episodes", buffer_.encode()}, {"frontier", std::move(points)}, {"probe", probeChance_}};
+}
+
+bool Sizing::decode(const Json& value) {
+  const Json* episodes = wire::field(value, "episodes");
+  const Json* points = wire::field(value, "frontier");
+  const auto probe = wire::amountField(value, "probe");
+  if (episodes == nullptr || points == nullptr || !points->is_array() ||
+      points->size() > constants::kFrontierMost || !probe || *probe > 1)
+    return false;
+  std::vector<Point> read;
+  for (const Json& point : *points) {
+    if (!point.is_array() || point.size() != 2 || !point[0].is_number() || !point[1].is_number())
+      return false;
+    read.push_back(Point{point[0].get<double>(), point[1].get<double>()});
+  }
+  if (!buffer_.decode(*episodes)) return false;
+  frontier_.set(std::move(read));
+  probeChance_ = std::max(settings_.operators.probeFloor, *probe);
+  return true;
 }
 
 }  // namespace reachhoist::fleet
--- a/src/fleet/sizing.hpp
+++ b/src/fleet/sizing.hpp
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
+#include "fleet/episodes.hpp"
 #include "fleet/pools.hpp"
 
 namespace reachhoist::fleet {
@@ -21,24 +23,45 @@
 
 class Sizing {
  public:
-  explicit Sizing(const config::Settings& settings) : settings_(settings) {}
+  Sizing(const config::Settings& settings, std::uint64_t seed) : settings_(settings), random_(seed) {
+    probeChance_ = settings.operators.probeChance;
+  }
 
   bool due(Time now) const { return now >= next_; }
   std::vector<Step> round(Time now, const std::vector<PoolView>& pools);
-  // A rental of the last round was refused: it counts as no step.
+  // A rental of the last round was refused: it counts as no step, and its episode is dropped.
   void refused(const PoolKey& pool);
 
+  const Buffer& buffer() const { return buffer_; }
+  const Frontier& frontier() const { return frontier_; }
+  double probeChance() const { return probeChance_; }
+  Json encode() const;
+  bool decode(const Json& value);
+
  private:
+  // A step that waits for its settling window, one round, to be scored.
+  struct Open {
+    Context context{};
+    Outcome before;
+  };
   struct PoolState {
     Time lastUp{};
     Time lastDown{};
     Time previousUp{};
+    std::optional<Open> open;
   };
-  int clamp(const PoolView& pool, PoolState& state, int units, Time now) const;
+  Context contextOf(const PoolView& pool) const;
+  int clamp(const PoolView& pool, const PoolState& state, int units, Time now) const;
+  int followQueue(const PoolView& pool) const;
+  void score(const PoolView& pool, PoolState& state);
 
   const config::Settings& settings_;
+  std::mt19937_64 random_;
+  double probeChance_ = 0;
   Time next_{};
   std::map<PoolKey, PoolState> states_;
+  Buffer buffer_;
+  Frontier frontier_;
 };
 
 }  // namespace reachhoist::fleet
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -8,6 +8,7 @@
 namespace {
 constexpr const char* kMachinePrefix = "machines/";
 constexpr const char* kDonePrefix = "done/";
+constexpr const char* kLearnedKey = "fleet/learned";
 }  // namespace
 
 Owner::Owner(Context& context, cluster::Leadership& leadership, state::Feed& jobFeed, jobs::JobTable& jobs,
@@ -31,7 +32,7 @@
               [this](const auto& hosts) { onReturned(hosts); },
               [this](const auto& hosts) { onListed(hosts); },
               [this](std::vector<wire::RigType> catalog) { context_.catalog = std::move(catalog); }})),
-      sizing_(context.settings) {
+      sizing_(context.settings, term) {
   load();
 }
 
@@ -182,6 +183,8 @@
   }
   to(State::acting);
   actingSince_ = context_.now;
+  nextCopy_ = context_.now + constants::kCopyEvery;
+  loadLearned();
   context_.event(
       Level::info, "acting",
       {{"term", term_},
@@ -191,6 +194,26 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(context_.now - electedAt_).count()}});
 }
 
+void Owner::loadLearned() {
+  // Nobody waits for it: sizing follows the queues until it is there.
+  context_.state.get(context_.now, state::Urgency::complete, kLearnedKey,
+                     [this, alive = std::weak_ptr<int>(alive_)](const wire::CallResult& result) {
+                       if (!alive.lock() || !result.ok()) return;
+                       const Json* value = wire::field(result.body, "value");
+                       if (value == nullptr || !sizing_.decode(*value))
+                         context_.event(Level::error, "bad_record", {{"key", kLearnedKey}});
+                     });
+}
+
+void Owner::copyLearned() {
+  if (context_.now < nextCopy_) return;
+  nextCopy_ = context_.now + constants::kCopyEvery;
+  state::Transaction transaction;
+  transaction.conditions = partConditions({0});
+  transaction.writes.push_back({kLearnedKey, sizing_.encode(), std::nullopt});
+  context_.state.multi(context_.now, state::Urgency::rest, transaction, [](const auto&) {});
+}
+
 // --- life ------------------------------------------------------------------------------------------------
 
 void Owner::tick() {
@@ -233,6 +256,7 @@
   if (resigned_) return;
   recordRound();
   sizeFleet();
+  copyLearned();
   sendDirects();
 }
 
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -53,6 +53,8 @@
   void load();
   void loadPage(const std::string& prefix, const std::string& after);
   void loaded();
+  void loadLearned();
+  void copyLearned();
   void adoptRecord(const std::string& host, const Json& value, std::uint64_t stamp);
   void resign(const char* why);
   bool mayAnswer() const;
@@ -145,6 +147,7 @@
 
   std::unique_ptr<cloud::Client> cloud_;
   fleet::Sizing sizing_;
+  Time nextCopy_{};
   std::map<cloud::PoolKey, Time> refusedUntil_;
   std::map<std::string, Time> returnedUntil_;  // lists older than the return still name them
   Time nextShortfall_{};
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <cmath>
+
 #include "fleet/sizing.hpp"
 
 namespace {
@@ -13,4 +15,164 @@
   EXPECT_EQ(fleet::unitOf(80, 8), 10);
 }
 
+using fleet::Context;
+using fleet::Episode;
+using fleet::Frontier;
+using fleet::Outcome;
+
+Outcome outcome() {
+  Outcome out;
+  out.waitBeforeS = 20;
+  out.waitAfterS = 10;
+  out.waitBaselineS = out.waitMostS = 40;
+  out.targetS = 10;
+  out.costBefore = 2;
+  out.costAfter = 3;
+  out.costBudget = out.costMost = 10;
+  out.units = 1;
+  return out;
+}
+
+TEST(Payoff, TermsByHand) {
+  // 0.7 * 10/40 - 0.3 * 1/10 + 0 (at the target) + (20/10 - 1) * 1.5 * 0.3 + 1 + (1 - 0.25) * (1 - 0.3)
+  // = 0.175 - 0.03 + 0.45 + 1.525 = 2.12, clipped to 2.
+  EXPECT_DOUBLE_EQ(fleet::payoff(outcome(), Frontier{}), 2);
+  Frontier frontier;
+  frontier.update({0.05, 0.1});
+  // Dominated now: 0.8 / (1 + hypot(0.2, 0.2)) instead of the bonus.
+  EXPECT_NEAR(fleet::payoff(outcome(), frontier), 0.175 - 0.03 + 0.45 + 0.8 / (1 + std::hypot(0.2, 0.2)),
+              1e-12);
+  Outcome late = outcome();
+  late.waitAfterS = 15;  // one and a half times the target: 1 - 2.25
+  EXPECT_NEAR(fleet::payoff(late, frontier), 0.0875 - 0.03 - 1.25 + 0.45 + 0.8 / (1 + std::hypot(0.325, 0.2)),
+              1e-9);
+  late.waitAfterS = 100;
+  EXPECT_DOUBLE_EQ(fleet::payoff(late, frontier), -2);
+  Outcome hold = outcome();
+  hold.units = 0;
+  hold.waitBeforeS = hold.waitAfterS = 0;
+  hold.costAfter = 2;
+  EXPECT_NEAR(fleet::payoff(hold, Frontier{}), 1 + 0.8, 1e-12);
+}
+
+TEST(Frontier, DominanceAreaAndDistance) {
+  Frontier frontier;
+  EXPECT_TRUE(frontier.nonDominated({0.9, 0.9}));
+  EXPECT_NEAR(frontier.contribution({0.5, 0.5}), 0.25, 1e-12);
+  frontier.update({0.2, 0.8});
+  frontier.update({0.8, 0.2});
+  EXPECT_FALSE(frontier.nonDominated({0.9, 0.3}));
+  EXPECT_TRUE(frontier.nonDominated({0.5, 0.5}));
+  // Between the two: from 0.5 to 0.8 below 0.8; beyond 0.8 the second point dominates what is above 0.2.
+  EXPECT_NEAR(frontier.contribution({0.5, 0.5}), 0.3 * 0.3, 1e-12);
+  EXPECT_NEAR(frontier.distance({0.8, 0.5}), 0.3, 1e-12);
+  frontier.update({0.1, 0.1});
+  EXPECT_EQ(frontier.points().size(), 1U);
+}
+
+TEST(Buffer, OnlySuccessesAreStoredAndRetrievalIsDiverse) {
+  fleet::Buffer buffer;
+  buffer.add({Context{}, 1, 0});
+  buffer.add({Context{}, 1, -1});
+  EXPECT_TRUE(buffer.all().empty());
+  buffer.add({Context{0, 0, 0, 0, 0}, 1, 1.0});
+  buffer.add({Context{0, 0, 0, 0, 0}, 0, 1.0});
+  buffer.add({Context{1, 1, 1, 1, 1}, 2, 2.0});
+  // Leave-one-out means are 1.5, 1.5 and 1: surprises 0.5, 0.5 and 1. The far one is almost without
+  // similarity, but the second twin pays the diversity penalty of 0.1 and still leads with 0.5 - 0.1.
+  const auto two = buffer.retrieve(Context{}, 2);
+  ASSERT_EQ(two.size(), 2U);
+  EXPECT_EQ(two[0].units, 1);
+  EXPECT_EQ(two[1].units, 0);
+  EXPECT_EQ(buffer.retrieve(Context{}, 15).size(), 3U);
+}
+
+TEST(Choose, BestSimilarityWeightedPayoffOfCloseEpisodes) {
+  const Context here{};
+  Context near{};
+  near[0] = 0.2;
+  const double s = fleet::similarity(here, near);
+  EXPECT_NEAR(s, std::exp(-0.04 / (2 * 0.35 * 0.35)), 1e-12);
+  // Step 1: (1 * 0.5 + s * 1.5) / (1 + s); step 0: 0.9.
+  const auto choice = fleet::choose({{here, 1, 0.5}, {near, 1, 1.5}, {here, 0, 0.9}}, here);
+  ASSERT_TRUE(choice);
+  const double one = (0.5 + s * 1.5) / (1 + s);
+  EXPECT_EQ(choice->units, one > 0.9 ? 1 : 0);
+  EXPECT_NEAR(choice->value, std::max(one, 0.9), 1e-12);
+  EXPECT_FALSE(fleet::choose({{Context{1, 1, 1, 1, 1}, 2, 2.0}}, here));
+}
+
+TEST(Buffer, CopiesAreReadBackAndMalformedOnesSkipped) {
+  fleet::Buffer buffer;
+  for (int i = 0; i < 300; ++i) buffer.add({Context{0.123456, 1, 0, 0.5, 0.25}, i % 3, 0.5});
+  EXPECT_EQ(buffer.all().size(), constants::kBufferMost);
+  const auto copy = buffer.encode();
+  EXPECT_LT(copy.dump().size(), 6000U);
+  fleet::Buffer again;
+  ASSERT_TRUE(again.decode(copy));
+  EXPECT_EQ(again.all().size(), constants::kCopyMost);
+  for (const auto& wrong :
+       {wire::Json(3), wire::Json::parse("[[1]]"), wire::Json::parse("[[9,1,0,0,0,0,0]]"),
+        wire::Json::parse("[[1,-1,0,0,0,0,0]]"), wire::Json::parse("[[1,\"x\",0,0,0,0,0]]")})
+    EXPECT_FALSE(again.decode(wrong)) << wrong;
+  EXPECT_EQ(again.all().size(), constants::kCopyMost);
+}
+
+fleet::PoolView pool(int machines, double waitS, int idle = 0) {
+  fleet::PoolView view;
+  view.key = {"small", "a", false};
+  view.machines = machines;
+  view.queueWaitS = waitS;
+  view.idle = idle;
+  view.busyShare = waitS > 0 ? 1 : 0.2;
+  view.ratePerHour = 1;
+  return view;
+}
+
+class SizingTest : public testing::Test {
+ protected:
+  SizingTest() { settings.operators.probeChance = settings.operators.probeFloor = 0; }
+  wire::Time at(double s) { return wire::Time{} + std::chrono::hours(1) + wire::seconds(s); }
+  config::Settings settings;
+};
+
+TEST_F(SizingTest, QueueFollowingUnitsAndCooldowns) {
+  fleet::Sizing sizing(settings, 1);
+  auto steps = sizing.round(at(0), {pool(16, 30)});
+  ASSERT_EQ(steps.size(), 1U);
+  EXPECT_EQ(steps[0].units, 2);
+  EXPECT_EQ(steps[0].machines, 4);  // two units of an eighth of 16
+  EXPECT_FALSE(sizing.due(at(29)));
+  EXPECT_TRUE(sizing.due(at(30)));
+  EXPECT_TRUE(sizing.round(at(30), {pool(20, 30)}).empty());  // 60 s between scale-ups
+  fleet::Sizing down(settings, 1);
+  ASSERT_EQ(down.round(at(0), {pool(16, 0, 5)}).at(0).machines, -2);
+  EXPECT_TRUE(down.round(at(90), {pool(14, 0, 5)}).empty());  // 120 s between scale-downs
+  EXPECT_TRUE(down.round(at(95), {pool(0, 30)}).empty());     // a pool of zero has no eighth
+}
+
+TEST_F(SizingTest, ARefusedRentalIsNoStep) {
+  fleet::Sizing sizing(settings, 1);
+  ASSERT_EQ(sizing.round(at(0), {pool(8, 30)}).size(), 1U);
+  sizing.refused(pool(8, 30).key);
+  EXPECT_EQ(sizing.round(at(30), {pool(8, 30)}).size(), 1U);  // no cooldown
+  EXPECT_TRUE(sizing.buffer().all().empty());                 // and no episode
+}
+
+TEST_F(SizingTest, StepsAreScoredARoundLaterAndProbesDecay) {
+  settings.operators.probeChance = 0.15;
+  settings.operators.probeFloor = 0.05;
+  fleet::Sizing sizing(settings, 1);
+  sizing.round(at(0), {pool(8, 0)});
+  EXPECT_NEAR(sizing.probeChance(), 0.15 * 0.95, 1e-12);
+  sizing.round(at(30), {pool(8, 0)});
+  EXPECT_EQ(sizing.buffer().all().size(), 1U);
+  EXPECT_EQ(sizing.frontier().points().size(), 1U);
+  for (int i = 2; i < 80; ++i) sizing.round(at(30 * i), {});
+  EXPECT_NEAR(sizing.probeChance(), 0.05, 1e-12);
+  fleet::Sizing successor(settings, 2);
+  ASSERT_TRUE(successor.decode(sizing.encode()));
+  EXPECT_EQ(successor.buffer().all().size(), sizing.buffer().all().size());
+}
+
 }  // namespace
