--- a/src/cluster/leadership.cpp
+++ b/src/cluster/leadership.cpp
@@ -51,10 +51,24 @@
     if (state_ != State::leading) term_ = std::max(term_, term);
     if (const auto parts = wire::countField(*value, "parts"); parts && *parts > 0)
       parts_ = static_cast<unsigned>(*parts);
+    checkLayout(wire::countField(*value, "layout").value_or(1));
   }
 }
 
+void Leadership::checkLayout(std::uint64_t layout) {
+  if (layout == constants::kLayout) {
+    if (state_ == State::refusing) to(State::observing);
+    return;
+  }
+  // Records of an earlier layout would be misread, and a task that they place be started twice.
+  if (state_ == State::refusing) return;
+  resign("another layout");
+  to(State::refusing);
+  handlers_.refused(layout);
+}
+
 void Leadership::onCaughtUp() {
+  if (state_ == State::refusing) return;
   if (state_ == State::leading) {
     // The feed may be older than our own election, so only what is newer counts.
     if (leaderStamp_ > ownStamp_ && leader_ != settings_.label) depose("another controller leads");
@@ -102,7 +116,8 @@
   state::Transaction transaction;
   transaction.conditions = {{kLeaderKey, leaderStamp_}, {kTermKey, termStamp_}};
   transaction.writes.push_back({kLeaderKey, Json{{"label", settings_.label}, {"term", term}}, permit_});
-  transaction.writes.push_back({kTermKey, Json{{"term", term}, {"parts", parts_}}, std::nullopt});
+  transaction.writes.push_back(
+      {kTermKey, Json{{"term", term}, {"parts", parts_}, {"layout", constants::kLayout}}, std::nullopt});
   for (Part part = 0; part < parts_; ++part)
     transaction.writes.push_back(
         {partKey(part), Json{{"owner", settings_.label}, {"term", term}}, std::nullopt});
--- a/src/cluster/leadership.hpp
+++ b/src/cluster/leadership.hpp
@@ -15,11 +15,14 @@
 class Leadership {
  public:
   // observing: somebody else leads, or nobody is known to. waiting: vacant, after a random pause.
-  // leasing, campaigning: trying to take it. leading: ours until the lease is lost.
-  enum class State { observing, waiting, leasing, campaigning, leading };
+  // leasing, campaigning: trying to take it. leading: ours until the lease is lost. refusing: the records are
+  // of another layout, so this program must not lead.
+  enum class State { observing, waiting, leasing, campaigning, leading, refusing };
   struct Handlers {
     std::function<void(std::uint64_t term, std::uint64_t partsStamp)> elected;
     std::function<void(const char* why)> deposed;
+    std::function<void(std::uint64_t layout)>
+        refused;  // the records are of a layout that this program can't read
   };
 
   Leadership(state::Client& client, const config::Settings& settings, std::uint64_t seed, Handlers handlers);
@@ -46,6 +49,7 @@
   void renew();
   void depose(const char* why);
   void pause();
+  void checkLayout(std::uint64_t layout);
 
   state::Client& client_;
   const config::Settings& settings_;
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -43,7 +43,10 @@
 inline constexpr milliseconds kRelayTimeout = 3s;  // below the 4 s after which a worker moves on
 inline constexpr milliseconds kRelayMemory = 8s;   // a worker back within this could not reach its owner
 inline constexpr milliseconds kRelayFor = 30s;     // then the direct way is tried again
-inline constexpr double kReturnedMemory = 4.0;  // list lags for which a returned machine is not believed back
+inline constexpr milliseconds kReturnedMemory =
+    10min;  // lists and copies of reports from a gone machine come late
+inline constexpr milliseconds kDeafPatience =
+    5s;  // beyond the lease, for a machine that hears nothing we send
 
 // --- Network --------------------------------------------------------------------------------------------
 inline constexpr milliseconds kConnectTimeout = 1500ms;  // three retransmissions on these networks
@@ -60,16 +63,28 @@
 
 // --- State service budget -------------------------------------------------------------------------------
 inline constexpr double kLeaderShare = 0.60;    // share of the state budgets that the leader may use
-inline constexpr double kFollowerShare = 0.18;  // share of each other controller (two of them in the sites)
+inline constexpr double kFollowerShare = 0.18;  // most of each other controller; many share what is left
 inline constexpr double kPollShare = 0.12;      // share of the request rate spent on confirming polls, each
+inline constexpr double kPollsShare = 0.40;     // the same for all controllers together
 inline constexpr milliseconds kStateBackoff = 250ms;  // after a 429 or 503 on background work
 inline constexpr double kBudgetMargin = 0.92;         // of the stated rate: clocks and windows differ
 
+inline constexpr std::uint64_t kLayout =
+    2;  // of the records; 1 kept placements in one record for each machine
+
 // --- Decisions ------------------------------------------------------------------------------------------
-inline constexpr milliseconds kTick = 50ms;         // step of all time-outs of the decision core
-inline constexpr milliseconds kRoundGap = 20ms;     // least time between placement rounds
+inline constexpr milliseconds kTick = 50ms;           // step of all time-outs of the decision core
+inline constexpr milliseconds kRoundGap = 20ms;       // least time between placement rounds
+inline constexpr milliseconds kIdleRoundGap = 200ms;  // after a round that found nothing to place or stop
+inline constexpr milliseconds kReplanEvery = 1s;    // time alone changes what may be placed: pauses, silence
 inline constexpr std::size_t kTasksPerRound = 400;  // placements of one round, so that rounds stay short
-inline constexpr std::uint32_t kDoneChunk = 4096;   // tasks per done key: 1 KiB of hex, below any limit
+inline constexpr std::size_t kStopsPerRound = 64;   // attempts stopped to make room in one round
+inline constexpr std::size_t kPagesPerRound = 4;   // pages of placements written by one round: half of 64 KiB
+inline constexpr std::size_t kPageBytes = 7000;    // bytes in JSON form; small pages are cheap to write again
+inline constexpr double kPageFill = 0.85;          // of the value limit, as bytes are estimated
+inline constexpr milliseconds kCleanEvery = 2s;    // pages with machines that are gone wait at most this long
+inline constexpr std::size_t kUnreapedMost = 40;   // attempts listed in reports before reaps go directly
+inline constexpr std::uint32_t kDoneChunk = 4096;  // tasks per done key: 1 KiB of hex, below any limit
 
 // --- Machines -------------------------------------------------------------------------------------------
 inline constexpr double kSilentReports = 3.0;  // missed reports after which a machine gets no new work
--- a/src/fleet/pools.cpp
+++ b/src/fleet/pools.cpp
@@ -99,7 +99,10 @@
     if (!counts(*machine)) continue;
     const PoolKey key{machine->rig, machine->yard, machine->loaners};
     ++sizes[key];
-    if (machine->phase == machines::MachinePhase::booting) coming.push_back(Coming{key, machine->total});
+    // Up, but not heard from both ways yet: it takes work in a moment.
+    const bool soon = machine->phase == machines::MachinePhase::up && !machine->echoed && machine->empty();
+    if (machine->phase == machines::MachinePhase::booting || soon)
+      coming.push_back(Coming{key, machine->total});
   }
   for (const auto& [key, rig] : pools) {
     const auto found = world.pending.find(key);
--- a/src/machines/machines.cpp
+++ b/src/machines/machines.cpp
@@ -92,17 +92,6 @@
   }
 }
 
-Json Machine::record(bool retiring) const {
-  Json list = Json::array();
-  for (const Attempt& attempt : attempts)
-    if (attempt.phase != AttemptPhase::free)
-      list.push_back(Json::array({attempt.task.str(), attempt.number}));
-  return Json{{"rig", rig},     {"yard", yard},         {"loaners", loaners},       {"endpoint", endpoint},
-              {"shift", shift}, {"retiring", retiring}, {"placed", std::move(list)}};
-}
-
-std::string machineKey(const std::string& host) { return "machines/" + host; }
-
 Machine* MachineTable::find(const std::string& host) {
   const auto found = machines_.find(host);
   return found == machines_.end() ? nullptr : &found->second;
--- a/src/machines/machines.hpp
+++ b/src/machines/machines.hpp
@@ -37,6 +37,8 @@
   bool stopSent = false;
   int directs = 0;                         // direct commands for it on their way
   std::optional<std::uint64_t> openBaton;  // of a direct launch that got no answer
+  std::optional<std::uint32_t> paged;      // the page that holds it; none: a stray one
+  std::uint64_t answeredAt = 0;            // tally of the report whose answer first carried the launch
   Time since{};                            // of the phase
   Time placedAt{};
   Time runningSince{};
@@ -66,11 +68,12 @@
   std::uint64_t tally = 0;
   std::uint64_t workerBaton = 0;  // highest the worker is known to have seen
   std::uint64_t fence = 0;
-  std::uint64_t stamp = 0;   // of its record; 0: none
-  bool recordBusy = false;   // a write of its record is under way
-  bool recordStale = false;  // the record holds attempts that are free
-  bool direct = false;       // a direct command is under way
-  bool ordersDue = false;    // orders have come up that no report is likely to carry soon
+  bool recordBusy = false;  // a transaction that concerns it is under way
+  bool direct = false;      // a direct command is under way
+  bool ordersDue = false;   // orders have come up that no report is likely to carry soon
+  // It has been seen with the newest token: our answers or commands reach it.
+  bool echoed = false;
+  Time unechoedSince{};  // first answer with a token that it has not been seen with
   bool returnAsked = false;
   const char* returnReason = "";
   Time rentedAt{};
@@ -94,11 +97,8 @@
   bool fetching(const std::string& crate) const;
   bool has(const std::string& crate) const { return crates.contains(crate); }
   void noteCrate(const std::string& crate, double sizeGb);
-  Json record(bool retiring) const;
 };
 
-std::string machineKey(const std::string& host);
-
 class MachineTable {
  public:
   Machine* find(const std::string& host);
--- /dev/null
+++ b/src/machines/pages.cpp
@@ -0,0 +1,103 @@
+#include "machines/pages.hpp"
+
+#include <algorithm>
+
+namespace reachhoist::machines {
+
+namespace {
+constexpr std::size_t kHostFrame = 24;     // bytes of quotes, brackets and the flag around a machine's names
+constexpr std::size_t kAttemptFrame = 24;  // bytes of an attempt's number, index and punctuation
+constexpr std::size_t kPageFrame = 96;     // bytes of the frame and the transaction's mark
+
+std::size_t hostBytes(const Machine& machine) {
+  return kHostFrame + machine.host.text.size() + machine.rig.size() + machine.yard.size();
+}
+std::size_t attemptBytes(const Attempt& attempt) { return kAttemptFrame + attempt.task.job.text.size(); }
+}  // namespace
+
+std::string pageKey(std::uint32_t number) { return "placed/" + std::to_string(number); }
+
+std::optional<std::vector<PagedHost>> decodePage(const Json& value) {
+  const Json* hosts = wire::field(value, "hosts");
+  if (hosts == nullptr || !hosts->is_object()) return std::nullopt;
+  std::vector<PagedHost> out;
+  for (const auto& [host, entry] : hosts->items()) {
+    if (!entry.is_array() || entry.size() != 4 || !entry[0].is_string() || !entry[1].is_string() ||
+        !entry[2].is_boolean() || !entry[3].is_array() || entry[3].size() % 2 != 0)
+      return std::nullopt;
+    PagedHost paged{host, entry[0].get<std::string>(), entry[1].get<std::string>(), entry[2].get<bool>(), {}};
+    const Json& list = entry[3];
+    for (std::size_t i = 0; i < list.size(); i += 2) {
+      const auto task = list[i].is_string() ? wire::parseTaskId(list[i].get<std::string>()) : std::nullopt;
+      if (!task || !list[i + 1].is_number_unsigned()) return std::nullopt;
+      paged.placed.emplace_back(*task, list[i + 1].get<std::uint64_t>());
+    }
+    out.push_back(std::move(paged));
+  }
+  return out;
+}
+
+std::uint64_t PageTable::stamp(std::uint32_t number) const {
+  const auto found = pages_.find(number);
+  return found == pages_.end() ? 0 : found->second.stamp;
+}
+
+void PageTable::weigh(const MachineTable& machines) {
+  for (auto& [number, page] : pages_) page.bytes = kPageFrame;
+  std::vector<std::uint32_t> seen;
+  for (const auto& [host, machine] : machines.all()) {
+    seen.clear();
+    for (const Attempt& attempt : machine.attempts) {
+      if (!attempt.paged) continue;
+      Page& page = pages_[*attempt.paged];
+      page.bytes += attemptBytes(attempt);
+      if (std::find(seen.begin(), seen.end(), *attempt.paged) != seen.end()) continue;
+      seen.push_back(*attempt.paged);
+      page.bytes += hostBytes(machine);
+    }
+  }
+}
+
+std::optional<std::uint32_t> PageTable::place(const Machine& machine, const Attempt& attempt,
+                                              std::set<std::uint32_t>& round, std::size_t pagesMost) {
+  // Its machine may stand in the page already; counted again, the page errs on the small side.
+  const std::size_t bytes = attemptBytes(attempt) + hostBytes(machine);
+  const auto take = [&](std::uint32_t number) {
+    pages_[number].bytes += bytes;
+    round.insert(number);
+    return number;
+  };
+  for (const std::uint32_t number : round)
+    if (pages_[number].bytes + bytes <= room_) return take(number);
+  if (round.size() >= pagesMost) return std::nullopt;
+  // The emptiest page, if it is half empty: fuller ones would be written again for little.
+  std::optional<std::uint32_t> best;
+  for (const auto& [number, page] : pages_) {
+    if (round.contains(number) || page.bytes > room_ / 2) continue;
+    if (!best || page.bytes < pages_[*best].bytes) best = number;
+  }
+  if (best) return take(*best);
+  const std::uint32_t fresh = pages_.empty() ? 0 : pages_.rbegin()->first + 1;
+  pages_[fresh].bytes = kPageFrame;
+  return take(fresh);
+}
+
+std::map<std::uint32_t, Json> PageTable::encode(const MachineTable& machines,
+                                                const std::set<std::uint32_t>& numbers) const {
+  std::map<std::uint32_t, Json> out;
+  for (const std::uint32_t number : numbers) out[number] = Json{{"hosts", Json::object()}};
+  for (const auto& [host, machine] : machines.all()) {
+    for (const Attempt& attempt : machine.attempts) {
+      if (!attempt.paged || attempt.phase == AttemptPhase::free) continue;
+      const auto page = out.find(*attempt.paged);
+      if (page == out.end()) continue;
+      Json& entry = page->second["hosts"][host];
+      if (entry.is_null()) entry = Json::array({machine.rig, machine.yard, machine.loaners, Json::array()});
+      entry[3].push_back(attempt.task.str());
+      entry[3].push_back(attempt.number);
+    }
+  }
+  return out;
+}
+
+}  // namespace reachhoist::machines
--- /dev/null
+++ b/src/machines/pages.hpp
@@ -0,0 +1,56 @@
+// The durable placements. A page is one key of the state service and holds many attempts on many machines, so
+// that one change carries a whole round of placements. A page's next writing leaves out what has become free.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "machines/machines.hpp"
+
+namespace reachhoist::machines {
+
+struct Page {
+  std::uint64_t stamp = 0;  // 0: not written yet
+  std::size_t bytes = 0;    // what is still held in it, counted in JSON form
+};
+
+std::string pageKey(std::uint32_t number);
+
+struct PagedHost {
+  std::string host;
+  std::string rig;
+  std::string yard;
+  bool loaners = false;
+  std::vector<std::pair<wire::TaskId, std::uint64_t>> placed;
+};
+// Nothing when the record is malformed.
+std::optional<std::vector<PagedHost>> decodePage(const Json& value);
+
+class PageTable {
+ public:
+  explicit PageTable(std::size_t valueBytes) : room_(valueBytes) {}
+
+  void clear() { pages_.clear(); }
+  void loaded(std::uint32_t number, std::uint64_t stamp) { pages_[number].stamp = stamp; }
+  std::uint64_t stamp(std::uint32_t number) const;
+  void written(std::uint32_t number, std::uint64_t stamp) { pages_[number].stamp = stamp; }
+  std::size_t size() const { return pages_.size(); }
+
+  // Counts anew what each page still holds.
+  void weigh(const MachineTable& machines);
+  // Finds room for an attempt: on a page of this round, on another half empty one, or on a new one. Nothing
+  // when the round's pages are full.
+  std::optional<std::uint32_t> place(const Machine& machine, const Attempt& attempt,
+                                     std::set<std::uint32_t>& round, std::size_t pagesMost);
+  // The pages' next values.
+  std::map<std::uint32_t, Json> encode(const MachineTable& machines,
+                                       const std::set<std::uint32_t>& numbers) const;
+
+ private:
+  std::map<std::uint32_t, Page> pages_;
+  std::size_t room_;
+};
+
+}  // namespace reachhoist::machines
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -13,90 +13,124 @@
 constexpr double kEmptyS = 1.5;      // spreading out instead of filling up keeps machines from being returned
 constexpr double kSharedFetchS = 0.5;  // joining a fetch that is under way costs about half of it
 
+using ZoneCount = std::map<std::string, std::uint32_t>;
+
 struct Bin {
   Machine* machine;
   wire::Resources room;
-  bool touched = false;                 // its record is written in this round
-  std::map<std::string, bool> planned;  // images that this round's tasks bring
+  std::vector<const std::string*> planned;  // images that this round's tasks bring
+
+  bool brings(const std::string& crate) const {
+    return std::any_of(planned.begin(), planned.end(), [&](const auto* other) { return *other == crate; });
+  }
+};
+
+// One job's order among the others: what it is compared by is worked out once a round.
+struct Turn {
+  Job* job;
+  bool guaranteed;
+  std::int64_t latestStart;
 };
 
 class Planner {
  public:
   explicit Planner(const World& world) : world_(world) {
+    std::unordered_map<std::string_view, ZoneCount*> zoned;  // jobs that care where their other tasks are
+    for (const Job* job : world.jobs)
+      if (job->spec.apart || job->spec.oneZone) zoned[job->spec.ref.text] = &placed_[job->spec.ref.text];
+    const bool limited =
+        std::any_of(world.settings.teams.begin(), world.settings.teams.end(), [](const auto& team) {
+          return team.cpus > 0 || team.cpusMax > 0 || team.gpus > 0 || team.gpusMax > 0;
+        });
     for (Machine* machine : world.machines) {
+      wire::Resources room = machine->total;
       for (const machines::Attempt& attempt : machine->attempts) {
-        if (attempt.phase == machines::AttemptPhase::free || attempt.phase == machines::AttemptPhase::ended)
-          continue;
-        TeamUse& use = teams_[attempt.crew];
-        use.cpus += attempt.each.vcpus;
-        use.gpus += attempt.each.accelerators;
-        placed_[attempt.task.job.text][machine->yard] += 1;
+        if (!attempt.holdsRoom()) continue;
+        room -= attempt.each;
+        if (limited) {
+          TeamUse& use = teams_[attempt.crew];
+          use.cpus += attempt.each.vcpus;
+          use.gpus += attempt.each.accelerators;
+        }
+        if (!zoned.empty()) {
+          const auto found = zoned.find(attempt.task.job.text);
+          if (found != zoned.end()) (*found->second)[machine->yard] += 1;
+        }
+        if (!attempt.stopWanted) lowestRank_ = std::min(lowestRank_, attempt.rank);
       }
-      if (takesWork(*machine)) bins_.push_back(Bin{machine, machine->room(), false, {}});
+      if (takesWork(*machine)) bins_.push_back(Bin{machine, room, {}});
     }
+    anyOverGuarantee_ = std::any_of(teams_.begin(), teams_.end(),
+                                    [this](const auto& entry) { return overGuarantee(entry.first); });
   }
 
   Plan run() {
-    std::vector<Job*> order = world_.jobs;
-    std::stable_sort(order.begin(), order.end(),
-                     [this](const Job* a, const Job* b) { return before(*a, *b); });
-    for (Job* job : order) placeJob(*job);
+    std::vector<Turn> order;
+    order.reserve(world_.jobs.size());
+    for (Job* job : world_.jobs) order.push_back(Turn{job, withinGuarantee(*job), latestStart(*job)});
+    std::stable_sort(order.begin(), order.end(), before);
+    for (const Turn& turn : order) placeJob(*turn.job);
     return std::move(plan_);
   }
 
  private:
   bool takesWork(const Machine& machine) const {
     if (machine.phase != machines::MachinePhase::up || machine.recordBusy || machine.sick) return false;
-    if (machine.suspectUntil > world_.now) return false;
+    // Heard from in both directions under this term: what is known of it from records, late copies of reports
+    // or one deaf way alone is no reason to give it work.
+    if (!machine.echoed || machine.suspectUntil > world_.now) return false;
     const auto silent = wire::seconds(world_.settings.reportS * constants::kSilentReports);
     return world_.now - machine.lastHeard <= silent && !machine.recallAt;
   }
 
   // What has failed on a machine is tried elsewhere, unless it has failed everywhere.
   static bool avoids(const Job& job, const Machine& machine) {
-    return job.errorHosts.contains(machine.host.text) &&
+    return !job.errorHosts.empty() && job.errorHosts.contains(machine.host.text) &&
            static_cast<int>(job.errorHosts.size()) < constants::kWrongJobMachines;
   }
 
+  TeamUse use(const std::string& crew) const {
+    const auto found = teams_.find(crew);
+    return found == teams_.end() ? TeamUse{} : found->second;
+  }
+
   bool withinGuarantee(const Job& job) const {
     const config::Team* team = world_.settings.team(job.spec.crew);
     if (team == nullptr || (team->cpus <= 0 && team->gpus <= 0)) return false;
-    const auto found = teams_.find(job.spec.crew);
-    const TeamUse use = found == teams_.end() ? TeamUse{} : found->second;
-    return use.cpus + job.spec.each.vcpus <= team->cpus + 1e-6 &&
-           use.gpus + job.spec.each.accelerators <= team->gpus + 1e-6;
+    const TeamUse now = use(job.spec.crew);
+    return now.cpus + job.spec.each.vcpus <= team->cpus + 1e-6 &&
+           now.gpus + job.spec.each.accelerators <= team->gpus + 1e-6;
   }
 
   bool withinLimit(const Job& job) const {
     const config::Team* team = world_.settings.team(job.spec.crew);
     if (team == nullptr) return false;
-    const auto found = teams_.find(job.spec.crew);
-    const TeamUse use = found == teams_.end() ? TeamUse{} : found->second;
-    if (team->cpusMax > 0 && use.cpus + job.spec.each.vcpus > team->cpusMax + 1e-6) return false;
-    return !(team->gpusMax > 0 && use.gpus + job.spec.each.accelerators > team->gpusMax + 1e-6);
+    if (team->cpusMax <= 0 && team->gpusMax <= 0) return true;
+    const TeamUse now = use(job.spec.crew);
+    if (team->cpusMax > 0 && now.cpus + job.spec.each.vcpus > team->cpusMax + 1e-6) return false;
+    return !(team->gpusMax > 0 && now.gpus + job.spec.each.accelerators > team->gpusMax + 1e-6);
+  }
+
+  static std::int64_t latestStart(const Job& job) {
+    const std::int64_t due = job.dueMs();
+    if (due == std::numeric_limits<std::int64_t>::max()) return due;
+    return due - static_cast<std::int64_t>(job.spec.expectS * 1000);
   }
 
   // Rank first, then work a team is guaranteed, then what is due first, then what came first.
-  bool before(const Job& a, const Job& b) const {
-    if (a.spec.rank != b.spec.rank) return a.spec.rank > b.spec.rank;
-    const bool ga = withinGuarantee(a);
-    const bool gb = withinGuarantee(b);
-    if (ga != gb) return ga;
-    const auto latestStart = [](const Job& job) {
-      const std::int64_t due = job.dueMs();
-      if (due == std::numeric_limits<std::int64_t>::max()) return due;
-      return due - static_cast<std::int64_t>(job.spec.expectS * 1000);
-    };
-    if (latestStart(a) != latestStart(b)) return latestStart(a) < latestStart(b);
-    return a.acceptedMs < b.acceptedMs;
+  static bool before(const Turn& a, const Turn& b) {
+    if (a.job->spec.rank != b.job->spec.rank) return a.job->spec.rank > b.job->spec.rank;
+    if (a.guaranteed != b.guaranteed) return a.guaranteed;
+    if (a.latestStart != b.latestStart) return a.latestStart < b.latestStart;
+    return a.job->acceptedMs < b.job->acceptedMs;
   }
 
   double delay(const Bin& bin, const Job& job) const {
     const Machine& machine = *bin.machine;
     double seconds = 0;
-    const double fetch = job.spec.sizeGb / std::max(machine.pullGbPerS, 0.01);
     if (!machine.has(job.spec.crate)) {
-      const bool shared = machine.fetching(job.spec.crate) || bin.planned.contains(job.spec.crate);
+      const double fetch = job.spec.sizeGb / std::max(machine.pullGbPerS, 0.01);
+      const bool shared = bin.brings(job.spec.crate) || machine.fetching(job.spec.crate);
       seconds += shared ? fetch * kSharedFetchS : fetch;
     }
     if (job.spec.loaners && !machine.loaners) seconds += kWrongKindS;
@@ -105,79 +139,88 @@
     return seconds;
   }
 
-  Bin* best(const Job& job) {
-    Bin* best = nullptr;
-    double bestDelay = std::numeric_limits<double>::max();
-    for (Bin& bin : bins_) {
-      const Machine& machine = *bin.machine;
-      if (!bin.touched && touched_ >= world_.maxMachines) continue;
-      if (!job.spec.each.fitsIn(bin.room)) continue;
-      if (!allows(job.spec, machine.rig, machine.yard, machine.loaners)) continue;
-      if (avoids(job, machine)) continue;
-      if (!zoneAllows(job.spec, placed_[job.spec.ref.text], machine.yard)) continue;
-      const double seconds = delay(bin, job);
-      if (seconds < bestDelay) {
-        best = &bin;
-        bestDelay = seconds;
+  bool usable(const Bin& bin, const Job& job) const {
+    const Machine& machine = *bin.machine;
+    return allows(job.spec, machine.rig, machine.yard, machine.loaners) && !avoids(job, machine);
+  }
+
+  bool zoneOpen(const Job& job, const std::string& yard) {
+    if (!job.spec.apart && !job.spec.oneZone) return true;
+    return zoneAllows(job.spec, placed_[job.spec.ref.text], yard);
+  }
+
+  // The tasks of a job are alike, so its machines are ranked once and only the one just used anew.
+  std::uint32_t fill(Job& job, bool& blockedByTeam) {
+    struct Choice {
+      double seconds;
+      std::size_t bin;
+      bool operator<(const Choice& other) const {
+        return seconds != other.seconds ? seconds > other.seconds : bin > other.bin;
+      }
+    };
+    std::vector<Choice> heap;
+    for (std::size_t i = 0; i < bins_.size(); ++i)
+      if (job.spec.each.fitsIn(bins_[i].room) && usable(bins_[i], job))
+        heap.push_back(Choice{delay(bins_[i], job), i});
+    std::make_heap(heap.begin(), heap.end());
+    std::uint32_t taken = 0;
+    std::uint32_t index = job.firstWaiting;
+    while (!heap.empty() && taken < job.waiting && plan_.assignments.size() < world_.maxTasks) {
+      while (index < job.spec.loads && job.tasks[index] != jobs::TaskPhase::waiting) ++index;
+      if (index >= job.spec.loads) break;
+      if (!withinLimit(job)) {
+        blockedByTeam = true;
+        break;
       }
+      std::pop_heap(heap.begin(), heap.end());
+      const std::size_t at = heap.back().bin;
+      heap.pop_back();
+      Bin& bin = bins_[at];
+      if (!zoneOpen(job, bin.machine->yard)) continue;  // a full zone stays full for this round
+      take(bin, job, index++);
+      ++taken;
+      if (!job.spec.each.fitsIn(bin.room)) continue;
+      heap.push_back(Choice{delay(bin, job), at});
+      std::push_heap(heap.begin(), heap.end());
     }
-    return best;
+    return taken;
   }
 
   void placeJob(Job& job) {
     if (job.waiting == 0 || job.heldUntil > world_.now) return;
+    bool blockedByTeam = false;
     std::uint32_t left = job.waiting;
-    std::uint32_t blockedByTeam = 0;
     if (jobs_ < world_.maxJobs) {
-      bool counted = false;
-      for (std::uint32_t index = job.firstWaiting; index < job.spec.loads && left > 0; ++index) {
-        if (job.tasks[index] != jobs::TaskPhase::waiting) continue;
-        if (plan_.assignments.size() >= world_.maxTasks) break;
-        if (!withinLimit(job)) {
-          blockedByTeam = left;
-          break;
-        }
-        Bin* bin = best(job);
-        if (bin == nullptr) break;
-        take(*bin, job, index);
-        counted = true;
-        --left;
-      }
-      if (counted) ++jobs_;
+      const std::uint32_t taken = fill(job, blockedByTeam);
+      left -= taken;
+      if (taken > 0) ++jobs_;
     }
-    left -= std::min(left, blockedByTeam);
-    if (left == 0) return;
+    if (left == 0 || blockedByTeam) return;
     // Only what the team's limit lets start is asked of sizing.
     if (const config::Team* team = world_.settings.team(job.spec.crew);
         team != nullptr && team->cpusMax > 0) {
-      const double free = team->cpusMax - teams_[job.spec.crew].cpus;
+      const double free = team->cpusMax - use(job.spec.crew).cpus;
       left = std::min(
           left, static_cast<std::uint32_t>(std::max(0.0, free / std::max(job.spec.each.vcpus, 0.01) + 1e-6)));
     }
     if (left == 0) return;
     plan_.unmet.push_back(Unmet{&job, left});
-    if (touched_ < world_.maxMachines) makeRoom(job, left);
+    if (plan_.assignments.size() < world_.maxTasks) makeRoom(job, left);
   }
 
   void take(Bin& bin, Job& job, std::uint32_t index) {
     bin.room -= job.spec.each;
-    if (!bin.touched) {
-      bin.touched = true;
-      ++touched_;
-    }
-    bin.planned[job.spec.crate] = true;
-    placed_[job.spec.ref.text][bin.machine->yard] += 1;
-    TeamUse& use = teams_[job.spec.crew];
-    use.cpus += job.spec.each.vcpus;
-    use.gpus += job.spec.each.accelerators;
+    if (!bin.brings(job.spec.crate)) bin.planned.push_back(&job.spec.crate);
+    if (job.spec.apart || job.spec.oneZone) placed_[job.spec.ref.text][bin.machine->yard] += 1;
+    TeamUse& now = teams_[job.spec.crew];
+    now.cpus += job.spec.each.vcpus;
+    now.gpus += job.spec.each.accelerators;
     plan_.assignments.push_back(Assignment{&job, index, bin.machine});
   }
 
   bool overGuarantee(const std::string& crew) const {
     const config::Team* team = world_.settings.team(crew);
-    const auto found = teams_.find(crew);
-    if (team == nullptr || found == teams_.end()) return false;
-    return found->second.cpus > team->cpus + 1e-6 && team->cpus > 0;
+    return team != nullptr && team->cpus > 0 && use(crew).cpus > team->cpus + 1e-6;
   }
 
   // What may be stopped for this job: lower rank; or, to give a team its guarantee, what another team runs
@@ -195,9 +238,11 @@
 
   void makeRoom(const Job& job, std::uint32_t tasks) {
     const bool guaranteed = withinGuarantee(job);
+    if (job.spec.rank <= lowestRank_ && !(guaranteed && anyOverGuarantee_)) return;
     // Room that is being made already counts: otherwise every round would stop more for the same task.
     std::uint32_t coming = 0;
     for (const Bin& bin : bins_) {
+      if (!usable(bin, job)) continue;
       wire::Resources freeing = bin.room;
       bool stopping = false;
       for (const machines::Attempt& attempt : bin.machine->attempts) {
@@ -210,7 +255,7 @@
         ++coming;
       }
     }
-    for (std::uint32_t i = coming; i < tasks; ++i)
+    for (std::uint32_t i = coming; i < tasks && plan_.stops.size() < world_.maxStops; ++i)
       if (!stopFor(job, guaranteed)) return;
   }
 
@@ -220,12 +265,10 @@
     double bestCost = std::numeric_limits<double>::max();
     for (Bin& bin : bins_) {
       const Machine& machine = *bin.machine;
-      if (!allows(job.spec, machine.rig, machine.yard, machine.loaners)) continue;
-      if (avoids(job, machine)) continue;
-      if (!zoneAllows(job.spec, placed_[job.spec.ref.text], machine.yard)) continue;
+      if (!usable(bin, job) || !zoneOpen(job, machine.yard)) continue;
       std::vector<const machines::Attempt*> candidates;
       for (const machines::Attempt& attempt : machine.attempts)
-        if (mayStop(job, guaranteed, attempt) && !stopped_.contains({attempt.task, attempt.number}))
+        if (mayStop(job, guaranteed, attempt) && !stopped_.contains(attempt.number))
           candidates.push_back(&attempt);
       std::sort(candidates.begin(), candidates.end(), [this](const auto* a, const auto* b) {
         if (a->rank != b->rank) return a->rank < b->rank;
@@ -247,14 +290,14 @@
     }
     if (bestBin == nullptr) return false;
     for (const auto* victim : bestVictims) {
-      stopped_[{victim->task, victim->number}] = true;
+      stopped_.insert(victim->number);
       bestBin->room += victim->each;
       plan_.stops.push_back(
           Stop{bestBin->machine, victim->task, victim->number, victim->saves ? victim->stowS + 1 : 0});
     }
     // Held for the one it was made for.
     bestBin->room -= job.spec.each;
-    placed_[job.spec.ref.text][bestBin->machine->yard] += 1;
+    if (job.spec.apart || job.spec.oneZone) placed_[job.spec.ref.text][bestBin->machine->yard] += 1;
     return true;
   }
 
@@ -267,9 +310,10 @@
   Plan plan_;
   std::vector<Bin> bins_;
   std::unordered_map<std::string, TeamUse> teams_;
-  std::unordered_map<std::string, std::map<std::string, std::uint32_t>> placed_;
-  std::map<std::pair<wire::TaskId, std::uint64_t>, bool> stopped_;
-  std::size_t touched_ = 0;
+  std::unordered_map<std::string, ZoneCount> placed_;
+  std::set<std::uint64_t> stopped_;  // attempts, by their numbers
+  wire::Rank lowestRank_ = wire::Rank::prod;
+  bool anyOverGuarantee_ = false;
   std::size_t jobs_ = 0;
 };
 
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -50,9 +50,9 @@
   std::int64_t wallMs = 0;
   std::vector<Job*> jobs;          // open ones with waiting tasks
   std::vector<Machine*> machines;  // all that are not gone
-  std::size_t maxMachines = 12;    // records one transaction can write
-  std::size_t maxJobs = 30;        // conditions left for jobs
-  std::size_t maxTasks = 400;
+  std::size_t maxJobs = 30;        // conditions left for jobs in one transaction
+  std::size_t maxTasks = constants::kTasksPerRound;
+  std::size_t maxStops = constants::kStopsPerRound;
 };
 
 // Whether machines of this kind may run the job at all (its other tasks aside).
--- a/src/service/controller.cpp
+++ b/src/service/controller.cpp
@@ -1,5 +1,7 @@
 #include "service/controller.hpp"
 
+#include <algorithm>
+
 namespace reachhoist::service {
 
 namespace {
@@ -22,7 +24,10 @@
     : settings_(settings),
       context_(settings, level, std::move(sink)),
       jobFeed_(context_.state, std::string(kJobsPrefix), state::Urgency::place,
-               wire::seconds(1.0 / (settings.stateRps * constants::kPollShare)),
+               wire::seconds(1.0 / (settings.stateRps *
+                                    std::min(constants::kPollShare,
+                                             constants::kPollsShare /
+                                                 static_cast<double>(settings.siblings.size() + 1)))),
                {[this](const auto& key, const Json* value, std::uint64_t stamp) { onJob(key, value, stamp); },
                 nullptr, nullptr}),
       leadership_(context_.state, settings, seed,
@@ -37,6 +42,10 @@
                      ownerDue_ = true;
                      ownerTerm_ = 0;
                      context_.event(Level::info, "deposed", {{"why", why}});
+                   },
+                   [this](std::uint64_t layout) {
+                     context_.event(Level::error, "layout_refused",
+                                    {{"found", layout}, {"readable", constants::kLayout}});
                    }}),
       users_(context_, jobFeed_, jobs_,
              [this](auto change, const std::string& ref) { applied(change, ref); }) {}
@@ -100,8 +109,7 @@
 void Controller::onResult(Time now, std::int64_t wallMs, std::uint64_t call, const wire::CallResult& result) {
   at(now, wallMs);
   context_.calls.complete(call, result);
-  // What has just become known may start the next round at once.
-  if (owner_ && !ownerDue_) owner_->tick();
+  if (owner_ && !ownerDue_) owner_->advance();
 }
 
 void Controller::onJob(const std::string& key, const Json* value, std::uint64_t stamp) {
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -6,7 +6,7 @@
 namespace reachhoist::service {
 
 namespace {
-constexpr const char* kMachinePrefix = "machines/";
+constexpr const char* kPagePrefix = "placed/";
 constexpr const char* kDonePrefix = "done/";
 constexpr const char* kLearnedKey = "fleet/learned";
 }  // namespace
@@ -20,7 +20,11 @@
       term_(term),
       partsStamp_(partsStamp),
       electedAt_(context.now),
-      completions_(context.state, context.settings.label + "-" + std::to_string(term) + "-c"),
+      pages_(std::min<std::size_t>(
+          constants::kPageBytes,
+          static_cast<std::size_t>(context.settings.stateValueKb * 1024 * constants::kPageFill))),
+      finals_(context.state, context.settings.label + "-" + std::to_string(term) + "-f"),
+      progress_(context.state, context.settings.label + "-" + std::to_string(term) + "-c"),
       placements_(context.state, context.settings.label + "-" + std::to_string(term) + "-p"),
       records_(context.state, context.settings.label + "-" + std::to_string(term) + "-r"),
       cloud_(std::make_unique<cloud::Client>(
@@ -50,99 +54,109 @@
   return context_.now - confirmed < context_.settings.answerWindow();
 }
 
-cluster::Part Owner::partOf(const Machine& machine) const {
-  return cluster::partOf(machine.host.text, leadership_.parts());
-}
-
-std::vector<state::Condition> Owner::partConditions(const std::set<cluster::Part>& parts) const {
+std::vector<state::Condition> Owner::partConditions() const {
   std::vector<state::Condition> out;
-  for (const cluster::Part part : parts) out.push_back({cluster::partKey(part), partsStamp_});
+  for (cluster::Part part = 0; part < leadership_.parts(); ++part)
+    out.push_back({cluster::partKey(part), partsStamp_});
   return out;
 }
 
 // --- loading ---------------------------------------------------------------------------------------------
 
 void Owner::load() {
-  loadsLeft_ = {kMachinePrefix, kDonePrefix, "jobs"};
+  loadsLeft_ = {kPagePrefix, kDonePrefix, kRetiringKey, "jobs"};
   loadRetryAt_ = context_.now;
 }
 
 void Owner::loadPage(const std::string& prefix, const std::string& after) {
   ++loadsOut_;
-  context_.state.list(
-      context_.now, state::Urgency::lease, prefix, after,
-      [this, prefix, alive = std::weak_ptr<int>(alive_)](const wire::CallResult& result) {
-        if (!alive.lock()) return;
-        --loadsOut_;
-        const Json* pairs = wire::field(result.body, "pairs");
-        if (!result.ok() || pairs == nullptr || !pairs->is_array()) {
-          loadRetryAt_ = context_.now + constants::kStateBackoff;
-          return;
-        }
-        std::string last;
-        for (const Json& pair : *pairs) {
-          const auto key = wire::textField(pair, "key");
-          const Json* value = wire::field(pair, "value");
-          if (!key || value == nullptr) continue;
-          last = *key;
-          const std::uint64_t stamp = wire::countField(pair, "stamp").value_or(0);
-          const std::string rest = key->substr(prefix.size());
-          if (prefix == kMachinePrefix) {
-            adoptRecord(rest, *value, stamp);
-            continue;
-          }
-          const auto slash = rest.find('/');
-          std::uint32_t chunk = 0;
-          const auto hex = wire::textField(*value, "hex");
-          if (slash == std::string::npos || !hex ||
-              std::from_chars(rest.data() + slash + 1, rest.data() + rest.size(), chunk).ec != std::errc{}) {
-            context_.event(Level::error, "bad_record", {{"key", *key}});
-            continue;
-          }
-          doneRecords_.push_back(DoneRecord{rest.substr(0, slash), chunk, *hex, stamp});
-        }
-        if (wire::flagField(result.body, "more").value_or(false) && !last.empty())
-          return loadPage(prefix, last);
-        loadsLeft_.erase(prefix);
-      });
+  context_.state.list(context_.now, state::Urgency::lease, prefix, after,
+                      [this, prefix, alive = std::weak_ptr<int>(alive_)](const wire::CallResult& result) {
+                        if (!alive.lock()) return;
+                        --loadsOut_;
+                        const Json* pairs = wire::field(result.body, "pairs");
+                        if (!result.ok() || pairs == nullptr || !pairs->is_array()) {
+                          loadRetryAt_ = context_.now + constants::kStateBackoff;
+                          return;
+                        }
+                        std::string last;
+                        for (const Json& pair : *pairs) {
+                          const auto key = wire::textField(pair, "key");
+                          const Json* value = wire::field(pair, "value");
+                          if (!key || value == nullptr) continue;
+                          last = *key;
+                          const std::uint64_t stamp = wire::countField(pair, "stamp").value_or(0);
+                          const std::string rest = key->substr(prefix.size());
+                          if (prefix == kPagePrefix) {
+                            adoptPage(rest, *value, stamp);
+                          } else if (prefix == kRetiringKey) {
+                            adoptRetiring(*value, stamp);
+                          } else {
+                            adoptDone(rest, *value, stamp);
+                          }
+                        }
+                        if (wire::flagField(result.body, "more").value_or(false) && !last.empty())
+                          return loadPage(prefix, last);
+                        loadsLeft_.erase(prefix);
+                      });
 }
 
-void Owner::adoptRecord(const std::string& host, const Json& value, std::uint64_t stamp) {
-  const auto rig = wire::textField(value, "rig");
-  const auto yard = wire::textField(value, "yard");
-  const Json* placed = wire::field(value, "placed");
-  if (!rig || !yard || placed == nullptr || !placed->is_array()) {
-    context_.event(Level::error, "bad_record", {{"machine", host}});
+void Owner::adoptDone(const std::string& rest, const Json& value, std::uint64_t stamp) {
+  const auto slash = rest.find('/');
+  std::uint32_t chunk = 0;
+  const auto hex = wire::textField(value, "hex");
+  if (slash == std::string::npos || !hex ||
+      std::from_chars(rest.data() + slash + 1, rest.data() + rest.size(), chunk).ec != std::errc{}) {
+    context_.event(Level::error, "bad_record", {{"key", kDonePrefix + rest}});
     return;
   }
-  Machine& machine = machines_.add(host);
-  machine.attempts.clear();
-  machine.rig = *rig;
-  machine.yard = *yard;
-  machine.loaners = wire::flagField(value, "loaners").value_or(false);
-  machine.endpoint = wire::textField(value, "endpoint").value_or("");
-  machine.shift = wire::countField(value, "shift").value_or(0);
-  machine.stamp = stamp;
-  machine.rentedAt = context_.now;
-  machine.lastHeard = context_.now;
-  // Until this moment plus its window an earlier owner may have renewed the worker's lease.
-  machine.lastAnswered = electedAt_ + context_.settings.answerWindow();
-  machine.phase =
-      wire::flagField(value, "retiring").value_or(false) ? MachinePhase::returning : MachinePhase::up;
-  machine.upSince = context_.now;
-  machine.idleSince = context_.now;
-  for (const Json& entry : *placed) {
-    if (!entry.is_array() || entry.size() != 2 || !entry[0].is_string() || !entry[1].is_number_unsigned())
-      continue;
-    const auto task = wire::parseTaskId(entry[0].get<std::string>());
-    if (!task) continue;
-    Attempt attempt;
-    attempt.task = *task;
-    attempt.number = entry[1].get<std::uint64_t>();
-    attempt.phase = AttemptPhase::recorded;
-    attempt.inherited = true;
-    attempt.since = attempt.placedAt = context_.now;
-    machine.attempts.push_back(std::move(attempt));
+  doneRecords_.push_back(DoneRecord{rest.substr(0, slash), chunk, *hex, stamp});
+}
+
+void Owner::adoptRetiring(const Json& value, std::uint64_t stamp) {
+  retiringStamp_ = stamp;
+  const Json* hosts = wire::field(value, "hosts");
+  if (hosts == nullptr || !hosts->is_array()) {
+    context_.event(Level::error, "bad_record", {{"key", kRetiringKey}});
+    return;
+  }
+  for (const Json& host : *hosts)
+    if (host.is_string()) retiringLoaded_.push_back(host.get<std::string>());
+}
+
+void Owner::adoptPage(const std::string& number, const Json& value, std::uint64_t stamp) {
+  std::uint32_t page = 0;
+  const auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), page);
+  if (error != std::errc{} || end != number.data() + number.size()) {
+    context_.event(Level::error, "bad_record", {{"page", number}});
+    return;
+  }
+  // Even a page that can't be read has a stamp, and its next writing depends on it.
+  pages_.loaded(page, stamp);
+  const auto hosts = machines::decodePage(value);
+  if (!hosts) {
+    context_.event(Level::error, "bad_record", {{"page", number}});
+    return;
+  }
+  for (const machines::PagedHost& paged : *hosts) {
+    Machine& machine = machines_.add(paged.host);
+    machine.rig = paged.rig;
+    machine.yard = paged.yard;
+    machine.loaners = paged.loaners;
+    machine.phase = MachinePhase::up;
+    machine.rentedAt = machine.lastHeard = machine.upSince = machine.idleSince = context_.now;
+    // Until this moment plus its window an earlier owner may have renewed the worker's lease.
+    machine.lastAnswered = electedAt_ + context_.settings.answerWindow();
+    for (const auto& [task, attemptNumber] : paged.placed) {
+      Attempt attempt;
+      attempt.task = task;
+      attempt.number = attemptNumber;
+      attempt.phase = AttemptPhase::recorded;
+      attempt.inherited = true;
+      attempt.paged = page;
+      attempt.since = attempt.placedAt = context_.now;
+      machine.attempts.push_back(std::move(attempt));
+    }
   }
 }
 
@@ -158,7 +172,13 @@
   }
   doneRecords_.clear();
   for (const std::string& ref : jobs_.open())
-    if (jobs_.find(ref)->finished()) dirtyJobs_.insert(ref);
+    if (jobs_.find(ref)->finished()) finishedJobs_.insert(ref);
+  for (const std::string& host : retiringLoaded_) {
+    Machine& machine = machines_.add(host);
+    machine.phase = MachinePhase::returning;
+    machine.lastAnswered = electedAt_ + context_.settings.answerWindow();
+  }
+  retiringLoaded_.clear();
   for (auto& [host, machine] : machines_.all()) {
     describe(machine);
     for (Attempt& attempt : machine.attempts) {
@@ -211,7 +231,7 @@
   if (context_.now < nextCopy_) return;
   nextCopy_ = context_.now + constants::kCopyEvery;
   state::Transaction transaction;
-  transaction.conditions = partConditions({0});
+  transaction.conditions = partConditions();
   transaction.writes.push_back({kLearnedKey, sizing_.encode(), std::nullopt});
   context_.state.multi(context_.now, state::Urgency::rest, transaction, [](const auto&) {});
 }
@@ -239,27 +259,38 @@
             }
           });
         } else {
-          if (prefix == kMachinePrefix) machines_.clear();
+          if (prefix == kPagePrefix) {
+            machines_.clear();
+            pages_.clear();
+          }
           if (prefix == kDonePrefix) doneRecords_.clear();
+          if (prefix == kRetiringKey) retiringLoaded_.clear();
           loadPage(prefix, "");
         }
       }
     }
     return;
   }
-  completions_.tick(context_.now);
-  placements_.tick(context_.now);
-  records_.tick(context_.now);
   cloud_->tick(context_.now);
   watchSilence();
   moveRetirements();
-  completionRound();
-  placementRound();
+  advance();
   if (resigned_) return;
   recordRound();
   sizeFleet();
   copyLearned();
-  sendDirects();
+}
+
+void Owner::advance() {
+  if (resigned_ || state_ != State::acting) return;
+  finals_.tick(context_.now);
+  progress_.tick(context_.now);
+  placements_.tick(context_.now);
+  records_.tick(context_.now);
+  finalRound();
+  progressRound();
+  placementRound();
+  if (!resigned_) sendDirects();
 }
 
 void Owner::onJobAccepted(jobs::Job& job) {
@@ -272,7 +303,8 @@
   if (state_ != State::acting) return;
   const std::string ref = job.spec.ref.text;
   job.endOwning();
-  dirtyJobs_.erase(ref);
+  dirtyJobs_.erase(ref);  // its place in the queue is passed over
+  finishedJobs_.erase(ref);
   shown_.erase(ref);
   for (auto& [host, machine] : machines_.all()) {
     for (Attempt& attempt : machine.attempts)
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -2,6 +2,7 @@
 // term and loads all it needs to know from the state service first.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <random>
@@ -12,6 +13,7 @@
 #include "fleet/sizing.hpp"
 #include "jobs/jobs.hpp"
 #include "machines/machines.hpp"
+#include "machines/pages.hpp"
 #include "placement/planner.hpp"
 #include "service/context.hpp"
 #include "state/feed.hpp"
@@ -24,6 +26,8 @@
 using machines::Machine;
 using machines::MachinePhase;
 
+inline constexpr const char* kRetiringKey = "retiring";
+
 class Owner {
  public:
   // loading: reading jobs, completions and machines. acting: everything else.
@@ -34,6 +38,8 @@
   Owner(const Owner&) = delete;
 
   void tick();
+  // What has just become known may start the next round at once.
+  void advance();
   void onJobAccepted(jobs::Job& job);
   void onJobEnded(jobs::Job& job);
 
@@ -55,12 +61,14 @@
   void loaded();
   void loadLearned();
   void copyLearned();
-  void adoptRecord(const std::string& host, const Json& value, std::uint64_t stamp);
+  void adoptPage(const std::string& number, const Json& value, std::uint64_t stamp);
+  void adoptRetiring(const Json& value, std::uint64_t stamp);
+  void adoptDone(const std::string& rest, const Json& value, std::uint64_t stamp);
   void resign(const char* why);
   bool mayAnswer() const;
   std::uint64_t batonOf(const Machine& machine) const { return cluster::baton(term_, machine.fence); }
-  std::vector<state::Condition> partConditions(const std::set<cluster::Part>& parts) const;
-  cluster::Part partOf(const Machine& machine) const;
+  // Every durable change of an owner depends on its parts.
+  std::vector<state::Condition> partConditions() const;
 
   // --- owner_workers.cpp: evidence and orders
   enum class Source { report, direct };
@@ -78,6 +86,9 @@
   void complete(const wire::TaskId& task);
   bool durablyDone(const wire::TaskId& task);
   void stop(Machine& machine, Attempt& attempt, double windDownS);
+  void ordersDue(Machine& machine);
+  void raiseFence(Machine& machine);
+  void noteEcho(Machine& machine);
   std::vector<wire::Order> ordersFor(Machine& machine, Source via, std::uint64_t tally);
   void sendDirects();
   void sendDirect(Machine& machine);
@@ -88,11 +99,20 @@
   void setRunning(Attempt& attempt, AttemptPhase next);
 
   // --- owner_rounds.cpp: completions, placement, records
-  void completionRound();
-  void onCompletions(const std::vector<std::pair<std::string, std::uint32_t>>& chunks,
-                     const std::vector<std::string>& finals, const state::Outcome& outcome);
+  void markDirty(const std::string& ref);
+  void finalRound();
+  void onFinals(const std::vector<std::string>& refs, const state::Outcome& outcome);
+  void progressRound();
+  void onProgress(const std::vector<std::pair<std::string, std::uint32_t>>& chunks,
+                  const state::Outcome& outcome);
+  void reapsDue();
   void placementRound();
-  void onPlacements(const std::vector<std::string>& hosts, const state::Outcome& outcome);
+  placement::Plan planRound();
+  // Takes the assignments for which the round's pages have room.
+  std::set<std::string> takeAssignments(const placement::Plan& plan, std::set<std::uint32_t>& pages,
+                                        std::set<std::string>& jobs);
+  void onPlacements(const std::set<std::string>& hosts, const std::set<std::uint32_t>& pages,
+                    const state::Outcome& outcome);
   void recordRound();
   void refusedBy(const state::Outcome& outcome, const char* what);
 
@@ -130,17 +150,26 @@
     std::uint64_t stamp;
   };
   std::vector<DoneRecord> doneRecords_;
+  std::vector<std::string> retiringLoaded_;
 
   machines::MachineTable machines_;
+  machines::PageTable pages_;
+  std::set<std::uint32_t> stalePages_;  // that name machines which are gone
+  Time nextClean_{};
+  std::uint64_t retiringStamp_ = 0;
   std::uint64_t attempts_ = 0;
-  state::Committer completions_;
+  state::Committer finals_;
+  state::Committer progress_;
   state::Committer placements_;
   state::Committer records_;
-  std::set<std::string> dirtyJobs_;  // with completions that are not durable
+  std::set<std::string> finishedJobs_;  // whose final stage is not durable
+  std::set<std::string> dirtyJobs_;     // with completions that are not durable
+  std::deque<std::string> dirtyQueue_;  // the same, longest dirty first
+  std::set<std::string> due_;           // machines with orders that a direct command should carry
   std::set<std::pair<std::string, std::uint32_t>> flyingChunks_;
-  std::set<std::string> flyingFinals_;
   bool planDue_ = true;
   Time nextPlan_{};
+  Time replanAt_{};
   Time nextSilenceCheck_{};
   std::vector<placement::Unmet> unmet_;
   std::set<std::string> recordDeletes_;
--- a/src/service/owner_fleet.cpp
+++ b/src/service/owner_fleet.cpp
@@ -42,13 +42,13 @@
     if (machine == nullptr) continue;
     releaseAll(*machine, "machine gone");
     machine->to(MachinePhase::gone, context_.now);
-    if (machine->stamp != 0) recordDeletes_.insert(machines::machineKey(host));
+    for (const Attempt& attempt : machine->attempts)
+      if (attempt.paged) stalePages_.insert(*attempt.paged);
     context_.event(Level::info, "machine_gone", {{"machine", host}, {"why", machine->returnReason}});
     // A placement whose outcome is still open finds nothing left to launch, and that is right.
     for (Attempt& attempt : machine->attempts) release(*machine, attempt, "machine gone");
     machines_.remove(host);
-    returnedUntil_[host] =
-        context_.now + wire::seconds(constants::kReturnedMemory * context_.settings.cloudListLagS);
+    returnedUntil_[host] = context_.now + constants::kReturnedMemory;
   }
   planDue_ = true;
 }
--- a/src/service/owner_rounds.cpp
+++ b/src/service/owner_rounds.cpp
@@ -20,87 +20,109 @@
 
 // --- completions -------------------------------------------------------------------------------------------
 
-void Owner::completionRound() {
-  if (completions_.busy() || dirtyJobs_.empty()) return;
+void Owner::markDirty(const std::string& ref) {
+  const jobs::Job& job = *jobs_.find(ref);
+  if (job.finished()) {
+    finishedJobs_.insert(ref);
+  } else if (dirtyJobs_.insert(ref).second) {
+    dirtyQueue_.push_back(ref);
+  }
+}
+
+// Final stages have their own lane: users wait for them, while progress only saves work after a crash.
+void Owner::finalRound() {
+  if (finals_.busy() || finishedJobs_.empty()) return;
   state::Transaction transaction;
-  std::vector<std::pair<std::string, std::uint32_t>> chunks;
-  std::vector<std::string> finals;
-  const std::size_t most = context_.settings.stateTxnOps;
-  std::set<cluster::Part> parts;
-  for (auto at = dirtyJobs_.begin(); at != dirtyJobs_.end() && transaction.writes.size() < most;) {
-    jobs::Job* job = jobs_.find(*at);
-    if (job == nullptr || !job->open()) {
-      at = dirtyJobs_.erase(at);
-      continue;
-    }
-    parts.insert(cluster::partOf(*at, leadership_.parts()));
-    if (job->finished()) {
-      transaction.conditions.push_back({jobs::jobKey(*at), job->stamp});
-      transaction.writes.push_back(
-          {jobs::jobKey(*at), jobs::encodeFinal(*job, jobs::JobPhase::done), std::nullopt});
-      for (const auto& [chunk, stamp] : job->doneStamps) {
-        if (transaction.writes.size() < most) {
-          transaction.writes.push_back({jobs::doneKey(*at, chunk), std::nullopt, std::nullopt});
-        } else {
-          recordDeletes_.insert(jobs::doneKey(*at, chunk));
-        }
-      }
-      finals.push_back(*at);
-      flyingFinals_.insert(*at);
-      job->dirtyChunks.clear();
-      at = dirtyJobs_.erase(at);
-      continue;
-    }
-    while (!job->dirtyChunks.empty() && transaction.writes.size() < most) {
-      const std::uint32_t chunk = *job->dirtyChunks.begin();
-      job->dirtyChunks.erase(job->dirtyChunks.begin());
-      const auto stamp = job->doneStamps.find(chunk);
-      transaction.conditions.push_back(
-          {jobs::doneKey(*at, chunk), stamp == job->doneStamps.end() ? 0 : stamp->second});
-      transaction.writes.push_back(
-          {jobs::doneKey(*at, chunk), Json{{"hex", job->doneChunk(chunk)}}, std::nullopt});
-      chunks.emplace_back(*at, chunk);
-      flyingChunks_.insert(chunks.back());
-    }
-    at = job->dirtyChunks.empty() ? dirtyJobs_.erase(at) : std::next(at);
+  std::vector<std::string> refs;
+  for (const std::string& ref : finishedJobs_) {
+    if (refs.size() >= context_.settings.stateTxnOps) break;
+    const jobs::Job* job = jobs_.find(ref);
+    transaction.conditions.push_back({jobs::jobKey(ref), job->stamp});
+    transaction.writes.push_back(
+        {jobs::jobKey(ref), jobs::encodeFinal(*job, jobs::JobPhase::done), std::nullopt});
+    refs.push_back(ref);
   }
-  if (transaction.writes.empty()) return;
-  for (auto& condition : partConditions(parts)) transaction.conditions.push_back(std::move(condition));
-  completions_.commit(
-      context_.now, state::Urgency::complete, std::move(transaction),
-      [this, chunks, finals](const state::Outcome& outcome) { onCompletions(chunks, finals, outcome); });
+  for (const std::string& ref : refs) finishedJobs_.erase(ref);
+  for (auto& condition : partConditions()) transaction.conditions.push_back(std::move(condition));
+  finals_.commit(context_.now, state::Urgency::place, std::move(transaction),
+                 [this, refs](const state::Outcome& outcome) { onFinals(refs, outcome); });
 }
 
-void Owner::onCompletions(const std::vector<std::pair<std::string, std::uint32_t>>& chunks,
-                          const std::vector<std::string>& finals, const state::Outcome& outcome) {
-  for (const auto& chunk : chunks) flyingChunks_.erase(chunk);
-  for (const std::string& ref : finals) flyingFinals_.erase(ref);
+void Owner::onFinals(const std::vector<std::string>& refs, const state::Outcome& outcome) {
   if (outcome.verdict == state::Verdict::refused) {
-    for (const auto& [ref, chunk] : chunks) {
-      jobs::Job* job = jobs_.find(ref);
-      if (job == nullptr || !job->open()) continue;
-      job->dirtyChunks.insert(chunk);
-      dirtyJobs_.insert(ref);
-    }
-    for (const std::string& ref : finals) dirtyJobs_.insert(ref);
-    return refusedBy(outcome, "completions");
-  }
-  for (const auto& [ref, chunk] : chunks) {
-    if (jobs::Job* job = jobs_.find(ref); job != nullptr && job->open())
-      job->doneStamps[chunk] = outcome.stamp;
+    for (const std::string& ref : refs)
+      if (const jobs::Job* job = jobs_.find(ref); job != nullptr && job->open()) finishedJobs_.insert(ref);
+    return refusedBy(outcome, "finals");
   }
-  for (const std::string& ref : finals) {
+  for (const std::string& ref : refs) {
     jobs::Job* job = jobs_.find(ref);
+    // Their records of progress have done their service.
+    for (const auto& [chunk, stamp] : job->doneStamps) recordDeletes_.insert(jobs::doneKey(ref, chunk));
     const Json record = jobs::encodeFinal(*job, jobs::JobPhase::done);
     if (jobs_.apply(ref, record, outcome.stamp) == jobs::JobTable::Change::ended) {
       context_.event(Level::info, "job_done", {{"job", ref}});
       onJobEnded(*jobs_.find(ref));
     }
   }
+  reapsDue();
+}
+
+void Owner::progressRound() {
+  if (progress_.busy() || dirtyJobs_.empty()) return;
+  state::Transaction transaction;
+  std::vector<std::pair<std::string, std::uint32_t>> chunks;
+  const std::size_t most = context_.settings.stateTxnOps;
+  // Longest dirty first, so that none is passed for ever when there is more than the budget carries.
+  while (!dirtyQueue_.empty() && chunks.size() < most) {
+    const std::string ref = dirtyQueue_.front();
+    jobs::Job* job = jobs_.find(ref);
+    if (!dirtyJobs_.contains(ref) || job == nullptr || !job->open() || job->finished() ||
+        job->dirtyChunks.empty()) {
+      dirtyJobs_.erase(ref);
+      dirtyQueue_.pop_front();
+      continue;
+    }
+    const std::uint32_t chunk = *job->dirtyChunks.begin();
+    job->dirtyChunks.erase(job->dirtyChunks.begin());
+    const auto stamp = job->doneStamps.find(chunk);
+    transaction.conditions.push_back(
+        {jobs::doneKey(ref, chunk), stamp == job->doneStamps.end() ? 0 : stamp->second});
+    transaction.writes.push_back({jobs::doneKey(ref, chunk), Json{{"hex", job->doneChunk(chunk)}}, {}});
+    chunks.emplace_back(ref, chunk);
+    flyingChunks_.insert(chunks.back());
+  }
+  if (chunks.empty()) return;
+  for (auto& condition : partConditions()) transaction.conditions.push_back(std::move(condition));
+  progress_.commit(context_.now, state::Urgency::complete, std::move(transaction),
+                   [this, chunks](const state::Outcome& outcome) { onProgress(chunks, outcome); });
+}
+
+void Owner::onProgress(const std::vector<std::pair<std::string, std::uint32_t>>& chunks,
+                       const state::Outcome& outcome) {
+  for (const auto& chunk : chunks) flyingChunks_.erase(chunk);
+  const bool applied = outcome.verdict == state::Verdict::applied;
+  for (const auto& [ref, chunk] : chunks) {
+    jobs::Job* job = jobs_.find(ref);
+    const bool open = job != nullptr && job->open();
+    if (applied && open) {
+      job->doneStamps[chunk] = outcome.stamp;
+    } else if (applied) {
+      recordDeletes_.insert(jobs::doneKey(ref, chunk));  // it has ended in between
+    } else if (open) {
+      job->dirtyChunks.insert(chunk);
+      markDirty(ref);
+    }
+  }
+  if (!applied) return refusedBy(outcome, "progress");
+  reapsDue();
+}
+
+void Owner::reapsDue() {
   for (auto& [host, machine] : machines_.all()) {
     const bool reapable = std::any_of(machine.attempts.begin(), machine.attempts.end(),
                                       [](const Attempt& a) { return a.phase == AttemptPhase::ended; });
-    if (reapable) machine.ordersDue = true;
+    // The next report's answer carries it: nobody waits for a reap.
+    if (reapable && machine.attempts.size() > constants::kUnreapedMost) ordersDue(machine);
   }
 }
 
@@ -113,30 +135,29 @@
   return out;
 }
 
-void Owner::placementRound() {
-  if (!planDue_ || placements_.busy() || context_.now < nextPlan_ || !context_.catalog) return;
-  planDue_ = false;
-  nextPlan_ = context_.now + constants::kRoundGap;
+placement::Plan Owner::planRound() {
   const std::size_t ops = context_.settings.stateTxnOps;
   placement::World world{context_.settings,
                          context_.now,
                          context_.wallMs,
                          {},
-                         allMachines(),
-                         ops,
-                         4 * ops - ops - leadership_.parts(),
-                         constants::kTasksPerRound};
+                         {},
+                         4 * ops - constants::kPagesPerRound - leadership_.parts()};
   for (const std::string& ref : jobs_.open()) {
     jobs::Job* job = jobs_.find(ref);
     if (job->waiting > 0) world.jobs.push_back(job);
-    if (job->waiting > 0 && job->heldUntil > context_.now) planDue_ = true;
   }
   if (world.jobs.empty()) {
     unmet_.clear();
-    return;
+    return {};
   }
+  world.machines = allMachines();
   placement::Plan plan = placement::plan(world);
   unmet_ = std::move(plan.unmet);
+  // What waits is looked at again when something has changed, or when time alone may have changed it.
+  nextPlan_ = context_.now + (plan.assignments.empty() && plan.stops.empty() ? constants::kIdleRoundGap
+                                                                             : constants::kRoundGap);
+  replanAt_ = context_.now + constants::kReplanEvery;
   for (const placement::Stop& order : plan.stops) {
     if (Attempt* attempt = order.machine->find(order.task, order.attempt)) {
       context_.event(Level::info, "preempt",
@@ -144,14 +165,23 @@
       stop(*order.machine, *attempt, order.windDownS);
     }
   }
-  if (plan.assignments.empty()) return;
-  std::set<cluster::Part> parts;
-  std::set<std::string> jobKeys;
-  std::map<std::string, Machine*> touched;
+  return plan;
+}
+
+std::set<std::string> Owner::takeAssignments(const placement::Plan& plan, std::set<std::uint32_t>& pages,
+                                             std::set<std::string>& jobs) {
+  std::set<std::string> hosts;
+  if (plan.assignments.empty()) return hosts;
+  pages_.weigh(machines_);
   for (const placement::Assignment& assignment : plan.assignments) {
     const wire::JobSpec& spec = assignment.job->spec;
     Attempt attempt;
     attempt.task = wire::TaskId{spec.ref, assignment.index};
+    attempt.paged = pages_.place(*assignment.machine, attempt, pages, constants::kPagesPerRound);
+    if (!attempt.paged) {
+      planDue_ = true;  // the rest goes with the next round
+      break;
+    }
     // Unique for ever: no later life or leader gives the same number.
     attempt.number = cluster::baton(term_, ++attempts_);
     attempt.each = spec.each;
@@ -164,41 +194,60 @@
     attempt.stowS = spec.stowS;
     attempt.since = attempt.placedAt = context_.now;
     assignment.machine->attempts.push_back(std::move(attempt));
+    assignment.machine->recordBusy = true;
     assignment.job->to(assignment.index, jobs::TaskPhase::placed, context_.now);
-    touched[assignment.machine->host.text] = assignment.machine;
-    jobKeys.insert(spec.ref.text);
+    hosts.insert(assignment.machine->host.text);
+    jobs.insert(spec.ref.text);
+  }
+  return hosts;
+}
+
+void Owner::placementRound() {
+  if (placements_.busy()) return;
+  std::set<std::uint32_t> pages;
+  std::set<std::string> jobs;
+  std::set<std::string> hosts;
+  if ((planDue_ || context_.now >= replanAt_) && context_.now >= nextPlan_ && context_.catalog) {
+    planDue_ = false;
+    hosts = takeAssignments(planRound(), pages, jobs);
   }
+  // Pages that name machines which are gone are written anew along with others, or by themselves in the end.
+  if (!pages.empty() || context_.now >= nextClean_) {
+    while (!stalePages_.empty() && pages.size() < constants::kPagesPerRound)
+      pages.insert(stalePages_.extract(stalePages_.begin()).value());
+  }
+  if (pages.empty()) return;
+  nextClean_ = context_.now + constants::kCleanEvery;
   state::Transaction transaction;
-  std::vector<std::string> hosts;
-  for (auto& [host, machine] : touched) {
-    parts.insert(partOf(*machine));
-    machine->recordBusy = true;
-    machine->recordStale = false;
-    transaction.conditions.push_back({machines::machineKey(host), machine->stamp});
-    transaction.writes.push_back({machines::machineKey(host), machine->record(false), std::nullopt});
-    hosts.push_back(host);
+  for (auto& [number, value] : pages_.encode(machines_, pages)) {
+    transaction.conditions.push_back({machines::pageKey(number), pages_.stamp(number)});
+    transaction.writes.push_back({machines::pageKey(number), std::move(value), std::nullopt});
   }
-  for (const std::string& ref : jobKeys)
+  for (const std::string& ref : jobs)
     transaction.conditions.push_back({jobs::jobKey(ref), jobs_.find(ref)->stamp});
-  for (auto& condition : partConditions(parts)) transaction.conditions.push_back(std::move(condition));
-  placements_.commit(context_.now, state::Urgency::place, std::move(transaction),
-                     [this, hosts](const state::Outcome& outcome) { onPlacements(hosts, outcome); });
+  for (auto& condition : partConditions()) transaction.conditions.push_back(std::move(condition));
+  placements_.commit(
+      context_.now, state::Urgency::place, std::move(transaction),
+      [this, hosts, pages](const state::Outcome& outcome) { onPlacements(hosts, pages, outcome); });
 }
 
-void Owner::onPlacements(const std::vector<std::string>& hosts, const state::Outcome& outcome) {
+void Owner::onPlacements(const std::set<std::string>& hosts, const std::set<std::uint32_t>& pages,
+                         const state::Outcome& outcome) {
   planDue_ = true;
+  const bool applied = outcome.verdict == state::Verdict::applied;
+  if (applied)
+    for (const std::uint32_t page : pages) pages_.written(page, outcome.stamp);
   for (const std::string& host : hosts) {
     Machine* machine = machines_.find(host);
     if (machine == nullptr) continue;
     machine->recordBusy = false;
-    if (outcome.verdict == state::Verdict::applied) machine->stamp = outcome.stamp;
     for (Attempt& attempt : machine->attempts) {
       if (attempt.phase != AttemptPhase::planned) continue;
       // Stopped while it was being written, or on a machine that is being given up: never launched, so free.
       const bool wanted = !attempt.stopWanted && machine->phase == MachinePhase::up;
-      if (outcome.verdict == state::Verdict::applied && wanted) {
+      if (applied && wanted) {
         attempt.to(AttemptPhase::recorded, context_.now);
-        machine->ordersDue = true;
+        ordersDue(*machine);
         if (context_.logs(Level::debug))
           context_.event(Level::debug, "placed", {{"task", attempt.task.str()}, {"machine", host}});
       } else {
@@ -208,49 +257,55 @@
     dropFree(*machine);
     if (!machine->empty()) machine->idleSince = context_.now;
   }
-  if (outcome.verdict == state::Verdict::refused) refusedBy(outcome, "placements");
-  sendDirects();
+  if (!applied) refusedBy(outcome, "placements");
 }
 
-// --- records of machines that go
-// ------------------------------------------------------------------------------
+// --- machines that go --------------------------------------------------------------------------------------
 
 void Owner::recordRound() {
   if (records_.busy()) return;
   state::Transaction transaction;
-  std::vector<std::string> hosts;
+  std::vector<std::string> retiring;
   std::vector<std::string> deletes;
-  std::set<cluster::Part> parts;
-  const std::size_t most = context_.settings.stateTxnOps;
+  // One key names every machine that is being returned; those that are gone leave it with its next writing.
+  Json names = Json::array();
+  std::size_t bytes = 0;
+  const auto fits = [&](const std::string& host) {
+    bytes += host.size() + 3;
+    return bytes < constants::kPageBytes / 2;
+  };
+  for (const auto& [host, machine] : machines_.all())
+    if (machine.phase == MachinePhase::returning && fits(host)) names.push_back(host);
   for (auto& [host, machine] : machines_.all()) {
-    if (transaction.writes.size() >= most) break;
-    if (machine.phase != MachinePhase::retiring || machine.recordBusy) continue;
+    if (machine.phase != MachinePhase::retiring || machine.recordBusy || !fits(host)) continue;
     machine.recordBusy = true;
-    parts.insert(partOf(machine));
-    transaction.conditions.push_back({machines::machineKey(host), machine.stamp});
-    transaction.writes.push_back({machines::machineKey(host), machine.record(true), std::nullopt});
-    hosts.push_back(host);
+    names.push_back(host);
+    retiring.push_back(host);
+  }
+  if (!retiring.empty()) {
+    transaction.conditions.push_back({kRetiringKey, retiringStamp_});
+    transaction.writes.push_back({kRetiringKey, Json{{"hosts", std::move(names)}}, std::nullopt});
   }
   for (const std::string& key : recordDeletes_) {
-    if (transaction.writes.size() >= most) break;
+    if (transaction.writes.size() >= context_.settings.stateTxnOps) break;
     transaction.writes.push_back({key, std::nullopt, std::nullopt});
     deletes.push_back(key);
   }
   if (transaction.writes.empty()) return;
-  if (parts.empty()) parts.insert(0);
-  for (auto& condition : partConditions(parts)) transaction.conditions.push_back(std::move(condition));
+  for (auto& condition : partConditions()) transaction.conditions.push_back(std::move(condition));
   records_.commit(context_.now, state::Urgency::rest, std::move(transaction),
-                  [this, hosts, deletes](const state::Outcome& outcome) {
-                    for (const std::string& host : hosts) {
+                  [this, retiring, deletes](const state::Outcome& outcome) {
+                    const bool applied = outcome.verdict == state::Verdict::applied;
+                    if (applied && !retiring.empty()) retiringStamp_ = outcome.stamp;
+                    for (const std::string& host : retiring) {
                       Machine* machine = machines_.find(host);
                       if (machine == nullptr) continue;
                       machine->recordBusy = false;
-                      if (outcome.verdict != state::Verdict::applied) continue;
-                      machine->stamp = outcome.stamp;
+                      if (!applied) continue;
                       machine->to(MachinePhase::returning, context_.now);
                       cloud_->giveBack(context_.now, host);
                     }
-                    if (outcome.verdict == state::Verdict::refused) return refusedBy(outcome, "records");
+                    if (!applied) return refusedBy(outcome, "records");
                     for (const std::string& key : deletes) recordDeletes_.erase(key);
                   });
 }
--- a/src/service/owner_workers.cpp
+++ b/src/service/owner_workers.cpp
@@ -14,6 +14,11 @@
 
 Owner::ReportAnswer Owner::onReport(const wire::Report& report) {
   if (state_ != State::acting || resigned_ || !mayAnswer()) return {};
+  // A worker that has seen a later term drops our answers, and a 200 would only hold it here until its lease
+  // has run out.
+  if (report.baton >= cluster::baton(term_ + 1, 0)) return {};
+  // Gone for good: this is a late copy of what it once sent, and must not bring it back.
+  if (returnedUntil_.contains(report.host.text)) return {};
   Machine* machine = machines_.find(report.host.text);
   if (machine == nullptr) {
     // Nobody expected it: a late rental, or one of an earlier leader. It is adopted like any other.
@@ -41,7 +46,6 @@
   machine->lastHeard = context_.now;
   machine->lastAnswered = std::max(machine->lastAnswered, context_.now);
   const auto orders = ordersFor(*machine, Source::report, report.tally);
-  planDue_ = true;
   return ReportAnswer{200, wire::encodeOrders(batonOf(*machine), orders)};
 }
 
@@ -50,6 +54,7 @@
   if (report.shift > machine.shift) newShift(machine, report);
   machine.tally = report.tally;
   machine.workerBaton = std::max(machine.workerBaton, report.baton);
+  noteEcho(machine);
   machine.lastHeard = context_.now;
   for (Attempt& attempt : machine.attempts) {
     // Once the worker has seen a higher baton, the old command can only get a 409.
@@ -133,6 +138,7 @@
       break;
   }
   if (attempt.phase == AttemptPhase::ended) return;
+  planDue_ = true;
   const bool wasPlaced = attempt.phase != AttemptPhase::free;
   setRunning(attempt, AttemptPhase::ended);
   attempt.cause = load.cause;
@@ -178,8 +184,12 @@
     if (present || attempt.phase == AttemptPhase::planned) continue;
     if (attempt.directs > 0 || attempt.openBaton) continue;  // a launch may still take effect
     const bool seen = attempt.phase != AttemptPhase::recorded;
-    if (seen || attempt.inherited || attempt.stopWanted)
-      release(machine, attempt, seen ? "reaped" : "absent");
+    // A launch in an answer is executed at once or never: a later report without it proves that the answer
+    // did not arrive. Until the worker is seen with a higher token it gets no more work.
+    const bool notTaken = attempt.answeredAt != 0 && report.tally > attempt.answeredAt;
+    if (notTaken && !seen) raiseFence(machine);
+    if (seen || attempt.inherited || attempt.stopWanted || notTaken)
+      release(machine, attempt, seen ? "reaped" : notTaken ? "not taken" : "absent");
   }
 }
 
@@ -187,7 +197,7 @@
   if (attempt.phase == AttemptPhase::free) return;
   const bool wasEnded = attempt.phase == AttemptPhase::ended;
   setRunning(attempt, AttemptPhase::free);
-  machine.recordStale = true;
+  planDue_ = true;
   if (wasEnded) return;  // its task has moved on already
   jobs::Job* job = jobs_.find(attempt.task.job.text);
   if (job == nullptr || !job->open() || attempt.task.index >= job->tasks.size()) return;
@@ -262,7 +272,7 @@
   if (job.tasks[task.index] == jobs::TaskPhase::completed) return;
   job.to(task.index, jobs::TaskPhase::completed, context_.now);
   job.dirtyChunks.insert(task.index / constants::kDoneChunk);
-  dirtyJobs_.insert(task.job.text);
+  markDirty(task.job.text);
   planDue_ = true;
 }
 
@@ -271,7 +281,7 @@
   if (job == nullptr || !job->open()) return true;
   const std::uint32_t chunk = task.index / constants::kDoneChunk;
   return !job->dirtyChunks.contains(chunk) && !flyingChunks_.contains({task.job.text, chunk}) &&
-         !flyingFinals_.contains(task.job.text) && !job->finished();
+         !job->finished();
 }
 
 void Owner::stop(Machine& machine, Attempt& attempt, double windDownS) {
@@ -284,13 +294,35 @@
   attempt.stopWanted = true;
   attempt.windDownS = windDownS;
   attempt.stopSent = false;
+  ordersDue(machine);
+}
+
+void Owner::ordersDue(Machine& machine) {
   machine.ordersDue = true;
+  due_.insert(machine.host.text);
+}
+
+void Owner::raiseFence(Machine& machine) {
+  // Once is enough until the worker has been seen with it.
+  if (machine.workerBaton < batonOf(machine)) return;
+  ++machine.fence;
+  machine.echoed = false;
+  machine.unechoedSince = context_.now;
+}
+
+void Owner::noteEcho(Machine& machine) {
+  if (machine.echoed || machine.workerBaton < batonOf(machine)) {
+    if (!machine.echoed && machine.unechoedSince == Time{}) machine.unechoedSince = context_.now;
+    return;
+  }
+  machine.echoed = true;
+  machine.unechoedSince = Time{};
+  planDue_ = true;
 }
 
 std::vector<wire::Order> Owner::ordersFor(Machine& machine, Source via, std::uint64_t tally) {
   std::vector<wire::Order> reaps;
   std::vector<wire::Order> rest;
-  (void)tally;
   for (Attempt& attempt : machine.attempts) {
     wire::Order order{wire::Verb::launch, attempt.task, attempt.number, 0};
     switch (attempt.phase) {
@@ -304,6 +336,7 @@
           order.verb = wire::Verb::halt;
           rest.push_back(order);
         } else if (attempt.directs == 0) {
+          if (via == Source::report && attempt.answeredAt == 0) attempt.answeredAt = tally;
           rest.push_back(order);
         }
         break;
@@ -332,8 +365,15 @@
 }
 
 void Owner::sendDirects() {
-  for (auto& [host, machine] : machines_.all())
-    if (machine.ordersDue && !machine.direct && context_.now >= machine.nextDirect) sendDirect(machine);
+  for (auto at = due_.begin(); at != due_.end();) {
+    Machine* machine = machines_.find(*at);
+    if (machine != nullptr && machine->ordersDue && (machine->direct || context_.now < machine->nextDirect)) {
+      ++at;
+      continue;
+    }
+    if (machine != nullptr && machine->ordersDue) sendDirect(*machine);
+    at = due_.erase(at);
+  }
 }
 
 void Owner::sendDirect(Machine& machine) {
@@ -375,15 +415,18 @@
     if (!answered && result.sent && machine->shift == shift) attempt->openBaton = baton;
   }
   if (!answered) {
-    if (result.sent && machine->fence == (baton & ((1U << constants::kBatonTermShift) - 1))) ++machine->fence;
+    if (result.sent && baton == batonOf(*machine)) {
+      // Makes the command void once the worker has seen the higher token.
+      ++machine->fence;
+      machine->echoed = false;
+      machine->unechoedSince = context_.now;
+    }
     machine->nextDirect = context_.now + constants::kWorkerTimeout;
     context_.event(Level::info, "no_answer", {{"machine", host}, {"sent", result.sent ? "yes" : "no"}});
     return;
   }
   if (auto report = wire::decodeReport(result.body); report && report->host.text == host)
     takeEvidence(*machine, *report, Source::direct);
-  // Reports and direct answers alone bring the room that stops have made.
-  planDue_ = true;
 }
 
 void Owner::watchSilence() {
@@ -416,6 +459,10 @@
     if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::draining) continue;
     if (settled && context_.now - machine.lastHeard > silentFor && (over || !cut(machine.yard)))
       condemn(machine, "silent");
+    // It reports, but nothing that we send arrives: its lease has run out, and it is of no use to anybody.
+    const bool deaf = !machine.echoed && machine.unechoedSince != Time{} &&
+                      context_.now - machine.unechoedSince > settings.leaseOver() + constants::kDeafPatience;
+    if (settled && deaf && machine.phase == MachinePhase::up) condemn(machine, "deaf");
   }
 }
 
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -1,5 +1,7 @@
 #include "state/client.hpp"
 
+#include <algorithm>
+
 namespace reachhoist::state {
 
 namespace {
@@ -29,11 +31,12 @@
 }
 
 void Client::setLeading(bool leading) {
-  const bool alone = settings_.siblings.empty();
-  const double share = (alone     ? 1.0
-                        : leading ? constants::kLeaderShare
-                                  : constants::kFollowerShare) *
-                       constants::kBudgetMargin;
+  const auto others = static_cast<double>(settings_.siblings.size());
+  const double share =
+      (others == 0 ? 1.0
+       : leading   ? constants::kLeaderShare
+                   : std::min(constants::kFollowerShare, (1 - constants::kLeaderShare) / others)) *
+      constants::kBudgetMargin;
   requests_.set(settings_.stateRps * share, settings_.stateRps * share);
   writes_.set(settings_.stateWriteRps * share, settings_.stateWriteRps * share);
 }
