--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -84,6 +84,10 @@
 inline constexpr double kPageFill = 0.85;          // of the value limit, as bytes are estimated
 inline constexpr milliseconds kCleanEvery = 2s;    // pages with machines that are gone wait at most this long
 inline constexpr std::size_t kUnreapedMost = 40;   // attempts listed in reports before reaps go directly
+inline constexpr double kEstimateSlack = 0.5;    // of the estimate: owners are often wrong by half
+inline constexpr milliseconds kNoAimPatience = 5min;  // start aimed at for jobs for which no aim is stated
+inline constexpr milliseconds kOverlookedAfter = 150s;  // without a start: goes first; the largest have 240 s
+inline constexpr std::uint32_t kOverlookedShare = 8;    // an overlooked job gets this part of its tasks at once
 inline constexpr std::uint32_t kDoneChunk = 4096;  // tasks per done key: 1 KiB of hex, below any limit
 
 // --- Machines -------------------------------------------------------------------------------------------
--- a/src/jobs/jobs.cpp
+++ b/src/jobs/jobs.cpp
@@ -46,6 +46,7 @@
   --counter(phase);
   ++counter(next);
   phase = next;
+  if (next == TaskPhase::placed) lastPlaced = now;
   if (next == TaskPhase::waiting) {
     if (waiting == 1) waitingSince = now;
     firstWaiting = std::min(firstWaiting, index);
@@ -62,7 +63,7 @@
   errors = 0;
   errorHosts.clear();
   heldUntil = Time{};
-  waitingSince = now;
+  waitingSince = lastPlaced = now;
 }
 
 void Job::endOwning() {
--- a/src/jobs/jobs.hpp
+++ b/src/jobs/jobs.hpp
@@ -43,6 +43,7 @@
   std::set<std::string> errorHosts;
   Time heldUntil{};
   Time waitingSince{};
+  Time lastPlaced{};  // or begun to be owned
 
   bool open() const { return phase == JobPhase::accepted; }
   bool finished() const { return spec.shape == wire::Shape::sweep && completed == spec.loads; }
--- /dev/null
+++ b/src/placement/aims.cpp
@@ -0,0 +1,54 @@
+#include "placement/aims.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace reachhoist::placement {
+
+namespace {
+
+// How many times in a row the waiting tasks must run, given how many the team may run at once.
+double waves(const jobs::Job& job, const config::Settings& settings) {
+  const config::Team* team = settings.team(job.spec.crew);
+  double atOnce = std::numeric_limits<double>::infinity();
+  if (team != nullptr && team->cpusMax > 0 && job.spec.each.vcpus > 0)
+    atOnce = std::min(atOnce, std::floor(team->cpusMax / job.spec.each.vcpus + 1e-6));
+  if (team != nullptr && team->gpusMax > 0 && job.spec.each.accelerators > 0)
+    atOnce = std::min(atOnce, std::floor(team->gpusMax / job.spec.each.accelerators + 1e-6));
+  return std::max(1.0, std::ceil(job.waiting / std::max(1.0, atOnce)));
+}
+
+}  // namespace
+
+Call nextCall(const jobs::Job& job, const config::Settings& settings, std::int64_t wallMs) {
+  const double runs = waves(job, settings);
+  const double expectS = job.spec.expectS;
+  // Estimates are often wrong by half: an aim is given up only when it would be missed by that much.
+  const double slackS = expectS * constants::kEstimateSlack;
+  const double ageS = static_cast<double>(wallMs - job.acceptedMs) / 1000.0;
+  double best = std::numeric_limits<double>::infinity();
+  bool any = false;
+  const auto consider = [&](double latestS) {
+    any = true;
+    if (latestS + slackS >= ageS) best = std::min(best, latestS);
+  };
+  bool due = false;
+  for (const config::Objective& objective : settings.objectives) {
+    if (objective.lane != job.spec.lane) continue;
+    if (objective.kind == "wait") {
+      consider(objective.withinS - expectS * (runs - 1));
+    } else if (objective.kind == "finished") {
+      consider(objective.withinS - expectS * runs);
+    } else if (objective.kind == "deadline" && job.spec.dueS) {
+      due = true;
+      consider(*job.spec.dueS * (objective.times > 0 ? objective.times : 1) - expectS * runs);
+    }
+  }
+  if (job.spec.dueS && !due) consider(*job.spec.dueS - expectS * runs);
+  if (!any) consider(wire::toSeconds(constants::kNoAimPatience));
+  const bool reachable = std::isfinite(best);
+  return Call{reachable, job.acceptedMs + (reachable ? static_cast<std::int64_t>(best * 1000) : 0)};
+}
+
+}  // namespace reachhoist::placement
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <limits>
 #include <unordered_map>
+#include <unordered_set>
+
+#include "placement/aims.hpp"
 
 namespace reachhoist::placement {
 
@@ -25,10 +28,15 @@
   }
 };
 
+// What is served first. ranked: services and the like, by rank. guaranteed: work that its team need not wait
+// for. overlooked: nothing of it was started for long. reachable: some aim can still be met, most pressing
+// first. late: none can, oldest first.
+enum class Tier { ranked, guaranteed, overlooked, reachable, late };
+
 // One job's order among the others: what it is compared by is worked out once a round.
 struct Turn {
   Job* job;
-  bool guaranteed;
+  Tier tier;
   std::int64_t latestStart;
 };
 
@@ -65,11 +73,12 @@
   }
 
   Plan run() {
+    findGuaranteed();
     std::vector<Turn> order;
     order.reserve(world_.jobs.size());
-    for (Job* job : world_.jobs) order.push_back(Turn{job, withinGuarantee(*job), latestStart(*job)});
+    for (Job* job : world_.jobs) order.push_back(turnOf(*job));
     std::stable_sort(order.begin(), order.end(), before);
-    for (const Turn& turn : order) placeJob(*turn.job);
+    for (const Turn& turn : order) placeJob(*turn.job, turn.tier);
     return std::move(plan_);
   }
 
@@ -94,12 +103,37 @@
     return found == teams_.end() ? TeamUse{} : found->second;
   }
 
-  bool withinGuarantee(const Job& job) const {
-    const config::Team* team = world_.settings.team(job.spec.crew);
-    if (team == nullptr || (team->cpus <= 0 && team->gpus <= 0)) return false;
-    const TeamUse now = use(job.spec.crew);
-    return now.cpus + job.spec.each.vcpus <= team->cpus + 1e-6 &&
-           now.gpus + job.spec.each.accelerators <= team->gpus + 1e-6;
+  // A job is within its team's guarantee if it fits there together with the team's earlier unfinished jobs.
+  void findGuaranteed() {
+    std::unordered_map<std::string_view, std::vector<const Job*>> byTeam;
+    for (const Job* job : world_.open) byTeam[job->spec.crew].push_back(job);
+    for (const config::Team& team : world_.settings.teams) {
+      if (team.cpus <= 0 && team.gpus <= 0) continue;
+      const auto found = byTeam.find(team.name);
+      if (found == byTeam.end()) continue;
+      auto& jobs = found->second;
+      std::sort(jobs.begin(), jobs.end(),
+                [](const Job* a, const Job* b) { return a->acceptedMs < b->acceptedMs; });
+      TeamUse sum;
+      for (const Job* job : jobs) {
+        const double left = job->spec.loads - job->completed;
+        sum.cpus += job->spec.each.vcpus * left;
+        sum.gpus += job->spec.each.accelerators * left;
+        if (sum.cpus > team.cpus + 1e-6 || sum.gpus > team.gpus + 1e-6) break;
+        guaranteed_.insert(job->spec.ref.text);
+      }
+    }
+  }
+
+  bool withinGuarantee(const std::string& ref) const { return guaranteed_.contains(ref); }
+
+  Turn turnOf(Job& job) const {
+    if (job.spec.rank >= wire::Rank::high) return Turn{&job, Tier::ranked, 0};
+    const Call call = nextCall(job, world_.settings, world_.wallMs);
+    if (withinGuarantee(job.spec.ref.text)) return Turn{&job, Tier::guaranteed, call.latestStartMs};
+    if (world_.now - job.lastPlaced > constants::kOverlookedAfter)
+      return Turn{&job, Tier::overlooked, job.acceptedMs};
+    return Turn{&job, call.reachable ? Tier::reachable : Tier::late, call.latestStartMs};
   }
 
   bool withinLimit(const Job& job) const {
@@ -111,16 +145,10 @@
     return !(team->gpusMax > 0 && now.gpus + job.spec.each.accelerators > team->gpusMax + 1e-6);
   }
 
-  static std::int64_t latestStart(const Job& job) {
-    const std::int64_t due = job.dueMs();
-    if (due == std::numeric_limits<std::int64_t>::max()) return due;
-    return due - static_cast<std::int64_t>(job.spec.expectS * 1000);
-  }
-
-  // Rank first, then work a team is guaranteed, then what is due first, then what came first.
   static bool before(const Turn& a, const Turn& b) {
-    if (a.job->spec.rank != b.job->spec.rank) return a.job->spec.rank > b.job->spec.rank;
-    if (a.guaranteed != b.guaranteed) return a.guaranteed;
+    if (a.tier != b.tier) return a.tier < b.tier;
+    if (a.tier == Tier::ranked && a.job->spec.rank != b.job->spec.rank)
+      return a.job->spec.rank > b.job->spec.rank;
     if (a.latestStart != b.latestStart) return a.latestStart < b.latestStart;
     return a.job->acceptedMs < b.job->acceptedMs;
   }
@@ -150,7 +178,7 @@
   }
 
   // The tasks of a job are alike, so its machines are ranked once and only the one just used anew.
-  std::uint32_t fill(Job& job, bool& blockedByTeam) {
+  std::uint32_t fill(Job& job, std::uint32_t most, bool& blockedByTeam) {
     struct Choice {
       double seconds;
       std::size_t bin;
@@ -165,7 +193,7 @@
     std::make_heap(heap.begin(), heap.end());
     std::uint32_t taken = 0;
     std::uint32_t index = job.firstWaiting;
-    while (!heap.empty() && taken < job.waiting && plan_.assignments.size() < world_.maxTasks) {
+    while (!heap.empty() && taken < most && plan_.assignments.size() < world_.maxTasks) {
       while (index < job.spec.loads && job.tasks[index] != jobs::TaskPhase::waiting) ++index;
       if (index >= job.spec.loads) break;
       if (!withinLimit(job)) {
@@ -186,12 +214,14 @@
     return taken;
   }
 
-  void placeJob(Job& job) {
+  void placeJob(Job& job, Tier tier) {
     if (job.waiting == 0 || job.heldUntil > world_.now) return;
+    const std::uint32_t most =
+        tier == Tier::overlooked ? std::max(1U, job.waiting / constants::kOverlookedShare) : job.waiting;
     bool blockedByTeam = false;
     std::uint32_t left = job.waiting;
     if (jobs_ < world_.maxJobs) {
-      const std::uint32_t taken = fill(job, blockedByTeam);
+      const std::uint32_t taken = fill(job, most, blockedByTeam);
       left -= taken;
       if (taken > 0) ++jobs_;
     }
@@ -205,7 +235,8 @@
     }
     if (left == 0) return;
     plan_.unmet.push_back(Unmet{&job, left});
-    if (plan_.assignments.size() < world_.maxTasks) makeRoom(job, left);
+    if (plan_.assignments.size() < world_.maxTasks && tier <= Tier::overlooked)
+      makeRoom(job, std::min(left, most));
   }
 
   void take(Bin& bin, Job& job, std::uint32_t index) {
@@ -231,13 +262,14 @@
     if (attempt.phase != AttemptPhase::recorded && attempt.phase != AttemptPhase::pulling &&
         attempt.phase != AttemptPhase::running)
       return false;
+    if (withinGuarantee(attempt.task.job.text) && !guaranteed) return false;
     if (attempt.rank < job.spec.rank) return true;
-    return guaranteed && attempt.rank <= job.spec.rank && attempt.crew != job.spec.crew &&
-           overGuarantee(attempt.crew);
+    return guaranteed && !withinGuarantee(attempt.task.job.text) && attempt.rank <= job.spec.rank &&
+           attempt.crew != job.spec.crew && overGuarantee(attempt.crew);
   }
 
   void makeRoom(const Job& job, std::uint32_t tasks) {
-    const bool guaranteed = withinGuarantee(job);
+    const bool guaranteed = withinGuarantee(job.spec.ref.text);
     if (job.spec.rank <= lowestRank_ && !(guaranteed && anyOverGuarantee_)) return;
     // Room that is being made already counts: otherwise every round would stop more for the same task.
     std::uint32_t coming = 0;
@@ -311,7 +343,8 @@
   std::vector<Bin> bins_;
   std::unordered_map<std::string, TeamUse> teams_;
   std::unordered_map<std::string, ZoneCount> placed_;
-  std::set<std::uint64_t> stopped_;  // attempts, by their numbers
+  std::set<std::uint64_t> stopped_;             // attempts, by their numbers
+  std::unordered_set<std::string> guaranteed_;  // jobs within their team's guarantee
   wire::Rank lowestRank_ = wire::Rank::prod;
   bool anyOverGuarantee_ = false;
   std::size_t jobs_ = 0;
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -49,6 +49,7 @@
   Time now{};
   std::int64_t wallMs = 0;
   std::vector<Job*> jobs;          // open ones with waiting tasks
+  std::vector<const Job*> open;    // all open ones
   std::vector<Machine*> machines;  // all that are not gone
   std::size_t maxJobs = 30;        // conditions left for jobs in one transaction
   std::size_t maxTasks = constants::kTasksPerRound;
--- a/src/service/owner_rounds.cpp
+++ b/src/service/owner_rounds.cpp
@@ -142,9 +142,11 @@
                          context_.wallMs,
                          {},
                          {},
+                         {},
                          4 * ops - constants::kPagesPerRound - leadership_.parts()};
   for (const std::string& ref : jobs_.open()) {
     jobs::Job* job = jobs_.find(ref);
+    world.open.push_back(job);
     if (job->waiting > 0) world.jobs.push_back(job);
   }
   if (world.jobs.empty()) {
--- a/tests/standin/state_service.cpp
+++ b/tests/standin/state_service.cpp
@@ -99,6 +99,7 @@
     return answer(429, Json::object());
   }
   writes_.take(sim_.steady(), static_cast<double>(writes));
+  changed_ += writes;
   Json failed = Json::array();
   for (const Json& condition : body["if"]) {
     const auto found = entries_.find(condition["key"].get<std::string>());
@@ -140,6 +141,7 @@
     return answer(429, Json::object());
   }
   requests_.take(sim_.steady(), 1);
+  ++served_;
   if (method == "POST" && path == "/multi") return multi(from, body, answer);
   if (method == "POST" && path == "/leases") {
     const double ttl = body["ttlMs"].get<double>() / 1000;
--- a/tests/standin/state_service.hpp
+++ b/tests/standin/state_service.hpp
@@ -32,6 +32,8 @@
   // Called for each key that a transaction has just written.
   std::function<void(const std::string& from, const std::string& key)> onApplied;
   std::size_t refusedByLimit() const { return refused_; }
+  std::size_t requests() const { return served_; }
+  std::size_t changes() const { return changed_; }
 
  private:
   struct Entry {
@@ -70,6 +72,8 @@
   reachhoist::state::Budget requests_;
   reachhoist::state::Budget writes_;
   std::size_t refused_ = 0;
+  std::size_t served_ = 0;
+  std::size_t changed_ = 0;
 };
 
 }  // namespace standin
