--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -66,6 +66,12 @@
 inline constexpr double kFollowerShare = 0.18;  // most of each other controller; many share what is left
 inline constexpr double kPollShare = 0.12;      // share of the request rate spent on confirming polls, each
 inline constexpr double kPollsShare = 0.40;     // the same for all controllers together
+inline constexpr milliseconds kFreshFor =
+    1s;  // a confirming read is made by then even if nobody waits for it
+inline constexpr milliseconds kHelloFresh =
+    2500ms;  // a sibling's word is believed this long; it comes each second
+inline constexpr milliseconds kAloneAfter =
+    4s;  // without the state service, while siblings have it or are silent
 inline constexpr milliseconds kStateBackoff = 250ms;  // after a 429 or 503 on background work
 inline constexpr double kBudgetMargin = 0.92;         // of the stated rate: clocks and windows differ
 
@@ -79,16 +85,16 @@
 inline constexpr milliseconds kReplanEvery = 1s;    // time alone changes what may be placed: pauses, silence
 inline constexpr std::size_t kTasksPerRound = 400;  // placements of one round, so that rounds stay short
 inline constexpr std::size_t kStopsPerRound = 64;   // attempts stopped to make room in one round
-inline constexpr std::size_t kPagesPerRound = 4;   // pages of placements written by one round: half of 64 KiB
-inline constexpr std::size_t kPageBytes = 7000;    // bytes in JSON form; small pages are cheap to write again
-inline constexpr double kPageFill = 0.85;          // of the value limit, as bytes are estimated
-inline constexpr milliseconds kCleanEvery = 2s;    // pages with machines that are gone wait at most this long
-inline constexpr std::size_t kUnreapedMost = 40;   // attempts listed in reports before reaps go directly
-inline constexpr double kEstimateSlack = 0.5;    // of the estimate: owners are often wrong by half
-inline constexpr milliseconds kNoAimPatience = 5min;  // start aimed at for jobs for which no aim is stated
+inline constexpr std::size_t kPagesPerRound = 4;  // pages of placements written by one round: half of 64 KiB
+inline constexpr std::size_t kPageBytes = 7000;   // bytes in JSON form; small pages are cheap to write again
+inline constexpr double kPageFill = 0.85;         // of the value limit, as bytes are estimated
+inline constexpr milliseconds kCleanEvery = 2s;   // pages with machines that are gone wait at most this long
+inline constexpr std::size_t kUnreapedMost = 40;  // attempts listed in reports before reaps go directly
+inline constexpr double kEstimateSlack = 0.5;     // of the estimate: owners are often wrong by half
+inline constexpr milliseconds kNoAimPatience = 5min;    // start aimed at for jobs for which no aim is stated
 inline constexpr milliseconds kOverlookedAfter = 150s;  // without a start: goes first; the largest have 240 s
-inline constexpr std::uint32_t kOverlookedShare = 8;    // an overlooked job gets this part of its tasks at once
-inline constexpr std::uint32_t kDoneChunk = 4096;  // tasks per done key: 1 KiB of hex, below any limit
+inline constexpr std::uint32_t kOverlookedShare = 8;  // an overlooked job gets this part of its tasks at once
+inline constexpr std::uint32_t kDoneChunk = 4096;     // tasks per done key: 1 KiB of hex, below any limit
 
 // --- Machines -------------------------------------------------------------------------------------------
 inline constexpr double kSilentReports = 3.0;  // missed reports after which a machine gets no new work
@@ -96,6 +102,8 @@
 inline constexpr double kBootPatience = 3.0;   // times bootS before a machine counts as never coming
 inline constexpr milliseconds kBootPatienceLeast =
     60s;                                            // least patience; some machines take several times longer
+inline constexpr milliseconds kPullInAfter = 3s;  // after loading: machines not heard from are asked directly
+inline constexpr int kPullInAtOnce = 40;          // machines asked in one half second
 inline constexpr int kSuspectErrors = 2;            // errors in a row after which a machine is looked into
 inline constexpr milliseconds kSuspectPause = 15s;  // without new work, while its jobs are tried elsewhere
 inline constexpr milliseconds kGoodAfter = 5s;      // running this long elsewhere clears a job
--- a/src/machines/machines.hpp
+++ b/src/machines/machines.hpp
@@ -70,6 +70,7 @@
   std::uint64_t fence = 0;
   bool recordBusy = false;  // a transaction that concerns it is under way
   bool direct = false;      // a direct command is under way
+  bool pulled = false;      // asked for its state because it had not reported under this term
   bool ordersDue = false;   // orders have come up that no report is likely to carry soon
   // It has been seen with the newest token: our answers or commands reach it.
   bool echoed = false;
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -40,6 +40,9 @@
       out.what = std::move(progress);
       break;
     }
+    case rpc::Message::HELLO:
+      out.what = Hello{in.getHello().getTerm(), in.getHello().getLeading(), in.getHello().getConfirmed()};
+      break;
   }
   return out;
 }
@@ -59,6 +62,11 @@
     out.setNumber(relayed->number);
     out.setStatus(static_cast<std::uint16_t>(relayed->status));
     out.setBody(data(relayed->body));
+  } else if (const auto* hello = std::get_if<Hello>(&message.what)) {
+    auto out = root.initHello();
+    out.setTerm(hello->term);
+    out.setLeading(hello->leading);
+    out.setConfirmed(hello->confirmed);
   } else if (const auto* progress = std::get_if<Progress>(&message.what)) {
     auto out = root.initProgress();
     out.setTerm(progress->term);
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -10,6 +10,7 @@
     relay @1 :Relay;
     relayed @2 :Relayed;
     progress @3 :Progress;
+    hello @4 :Hello;
   }
 }
 
@@ -26,6 +27,13 @@
   body @2 :Data;
 }
 
+# Sent by everyone: that the link works, who leads, and whether the state service answers the sender.
+struct Hello {
+  term @0 :UInt64;
+  leading @1 :Bool;
+  confirmed @2 :Bool;
+}
+
 # For display only: how far jobs that are not final have come.
 struct Progress {
   term @0 :UInt64;
--- a/src/service/controller.cpp
+++ b/src/service/controller.cpp
@@ -139,7 +139,7 @@
   };
   if (path == "/healthz") {
     if (!get) return wrongMethod();
-    const bool able = jobFeed_.ready() && context_.catalog.has_value();
+    const bool able = jobFeed_.ready() && context_.catalog.has_value() && !alone();
     return able ? context_.reply(request.number, 200, Json{{"ok", true}}) : context_.later(request.number);
   }
   if (path == "/v1/report") {
@@ -182,7 +182,7 @@
 }
 
 void Controller::misdirected(std::uint64_t request, const wire::Report& report, const std::string& body) {
-  const std::string& owner = leadership_.leader();
+  const std::string owner = leaderLabel();
   if (owner.empty() || owner == settings_.label || settings_.sibling(owner) == nullptr)
     return context_.later(request);
   Detour& detour = detours_[report.host.text];
@@ -214,6 +214,7 @@
   if (settings_.sibling(message.from) == nullptr) return;
   if (const auto* relay = std::get_if<peer::Relay>(&message.what)) return onRelay(message.from, *relay);
   if (const auto* answer = std::get_if<peer::Relayed>(&message.what)) return relayed(*answer);
+  if (const auto* hello = std::get_if<peer::Hello>(&message.what)) return onHello(message.from, *hello);
   const auto& progress = std::get<peer::Progress>(message.what);
   if (progress.term < progressTerm_ || owner_) return;
   progressTerm_ = progress.term;
@@ -248,8 +249,38 @@
   context_.reply(request, 200, *body);
 }
 
+void Controller::onHello(const std::string& from, const peer::Hello& hello) {
+  heard_[from] = Heard{context_.now, hello.confirmed};
+  if (!hello.leading || hello.term <= toldTerm_) return;
+  toldTerm_ = hello.term;
+  toldLeader_ = from;
+  // We may be the last to hear of it: as long as we answered workers 200, they would not look for the new
+  // leader.
+  if (leadership_.leading() && hello.term > leadership_.term()) leadership_.resign("a sibling leads");
+}
+
+bool Controller::alone() const {
+  if (settings_.siblings.empty() || context_.now - jobFeed_.confirmedAt() < constants::kAloneAfter)
+    return false;
+  bool silent = true;
+  for (const auto& [label, heard] : heard_) {
+    if (context_.now - heard.at > constants::kHelloFresh) continue;
+    if (heard.confirmed) return true;
+    silent = false;
+  }
+  return silent;
+}
+
+std::string Controller::leaderLabel() const {
+  return toldTerm_ > leadership_.term() ? toldLeader_ : leadership_.leader();
+}
+
 void Controller::beat() {
   nextBeat_ = context_.now + constants::kPeerBeat;
+  const peer::Hello hello{leadership_.term(), leadership_.leading(),
+                          context_.now - jobFeed_.confirmedAt() < constants::kHelloFresh};
+  for (const config::Sibling& sibling : settings_.siblings)
+    context_.peerOut.push_back(PeerSend{sibling.label, peer::Message{settings_.label, hello}});
   if (!owner_) return;
   const peer::Progress progress = owner_->progress(++beats_ % kFullBeats == 0);
   for (const config::Sibling& sibling : settings_.siblings)
--- a/src/service/controller.hpp
+++ b/src/service/controller.hpp
@@ -50,6 +50,11 @@
   void relayed(const peer::Relayed& relayed);
   void onRelay(const std::string& from, const peer::Relay& relay);
   void beat();
+  void onHello(const std::string& from, const peer::Hello& hello);
+  // Siblings have the state service, or all are out of reach as well, and we have not: users fare better
+  // elsewhere.
+  bool alone() const;
+  std::string leaderLabel() const;
   void fetchCatalog();
 
   const config::Settings& settings_;
@@ -66,6 +71,13 @@
   Time nextBeat_{};
   int beats_ = 0;
   std::uint64_t progressTerm_ = 0;
+  struct Heard {
+    Time at{};
+    bool confirmed = false;
+  };
+  std::map<std::string, Heard> heard_;  // of siblings
+  std::uint64_t toldTerm_ = 0;          // the latest that a sibling said it leads under
+  std::string toldLeader_;
 
   struct Detour {
     std::string owner;
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -54,6 +54,11 @@
   return context_.now - confirmed < context_.settings.answerWindow();
 }
 
+bool Owner::sure() const {
+  const Time confirmed = std::min(leadership_.confirmedAt(), jobFeed_.confirmedAt());
+  return context_.now - confirmed < constants::kLeaderTtl;
+}
+
 std::vector<state::Condition> Owner::partConditions() const {
   std::vector<state::Condition> out;
   for (cluster::Part part = 0; part < leadership_.parts(); ++part)
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -66,6 +66,9 @@
   void adoptDone(const std::string& rest, const Json& value, std::uint64_t stamp);
   void resign(const char* why);
   bool mayAnswer() const;
+  // Confirmed so lately that nobody else can lead yet. What costs money or condemns machines needs it: an
+  // owner that is cut off would rent and condemn beside the next one.
+  bool sure() const;
   std::uint64_t batonOf(const Machine& machine) const { return cluster::baton(term_, machine.fence); }
   // Every durable change of an owner depends on its parts.
   std::vector<state::Condition> partConditions() const;
@@ -95,6 +98,8 @@
   void onDirect(const std::string& host, std::uint64_t baton, std::uint64_t shift,
                 const std::vector<wire::Order>& orders, const wire::CallResult& result);
   void watchSilence();
+  void pullIn();
+  void inspect(Machine& machine);
   void useNotice(Machine& machine);
   void setRunning(Attempt& attempt, AttemptPhase next);
 
--- a/src/service/owner_fleet.cpp
+++ b/src/service/owner_fleet.cpp
@@ -141,7 +141,7 @@
 }
 
 void Owner::sizeFleet() {
-  if (!context_.catalog || !mayAnswer()) return;
+  if (!context_.catalog || !sure()) return;
   // The machines that are up make themselves known first; else a new leader would rent everything again.
   const auto settle = wire::seconds(context_.settings.reportS * 1.5 + 1);
   if (context_.now - actingSince_ < settle && !machines_.all().empty()) return;
--- a/src/service/owner_workers.cpp
+++ b/src/service/owner_workers.cpp
@@ -381,7 +381,7 @@
   if (machine.endpoint.empty() || machine.shift == 0 || !mayAnswer()) return;
   if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::draining) return;
   const auto orders = ordersFor(machine, Source::direct, 0);
-  if (orders.empty()) return;
+  if (orders.empty() && (machine.echoed || !machine.pulled)) return;
   for (const wire::Order& order : orders)
     if (order.verb == wire::Verb::launch) ++machine.find(order.load, order.attempt)->directs;
   machine.direct = true;
@@ -432,6 +432,7 @@
 void Owner::watchSilence() {
   if (context_.now < nextSilenceCheck_) return;
   nextSilenceCheck_ = context_.now + constants::kTick * 10;
+  pullIn();
   const config::Settings& settings = context_.settings;
   const auto silentFor = wire::seconds(settings.reportS * constants::kSilentReports + 2);
   // Several quiet machines of one zone are more likely cut off than dead, and relay needs a while to find its
@@ -445,7 +446,7 @@
     if (context_.now - machine.lastHeard > quietFor) ++quiet[machine.yard];
   }
   const auto cut = [&](const std::string& yard) { return quiet[yard] > 1 && quiet[yard] * 4 > up[yard]; };
-  const bool settled = context_.now - actingSince_ > silentFor && mayAnswer();
+  const bool settled = context_.now - actingSince_ > silentFor && sure();
   for (auto& [host, machine] : machines_.all()) {
     if (machine.phase == MachinePhase::gone) continue;
     judge(machine);
@@ -466,6 +467,38 @@
   }
 }
 
+// Workers that an earlier leader still answers would stay with it for as long as it believes itself entitled.
+// One that sees our token finds that leader's answers void and comes to us.
+void Owner::pullIn() {
+  if (context_.now - actingSince_ < constants::kPullInAfter || !sure()) return;
+  int out = 0;
+  for (auto& [host, machine] : machines_.all()) {
+    if (machine.phase != MachinePhase::up || machine.tally != 0 || machine.pulled || machine.endpoint.empty())
+      continue;
+    if (++out > constants::kPullInAtOnce) return;
+    machine.pulled = true;
+    inspect(machine);
+  }
+}
+
+void Owner::inspect(Machine& machine) {
+  wire::Call call;
+  call.to = wire::Service::worker;
+  call.endpoint = machine.endpoint;
+  call.method = "GET";
+  call.path = "/inspect";
+  call.timeout = constants::kWorkerTimeout;
+  context_.calls.start(std::move(call), [this, host = machine.host.text,
+                                         alive = std::weak_ptr<int>(alive_)](const wire::CallResult& result) {
+    Machine* known = alive.lock() ? machines_.find(host) : nullptr;
+    auto report = wire::decodeReport(result.body);
+    if (known == nullptr || !result.ok() || !report || report->host.text != host) return;
+    takeEvidence(*known, *report, Source::direct);
+    // An empty command brings the token.
+    if (!known->echoed) ordersDue(*known);
+  });
+}
+
 void Owner::useNotice(Machine& machine) {
   const double leftS = wire::toSeconds(*machine.recallAt - context_.now);
   for (Attempt& attempt : machine.attempts) {
--- a/src/service/users.cpp
+++ b/src/service/users.cpp
@@ -78,7 +78,7 @@
   if (!wire::validJobRef(ref)) return context_.reply(request, 400, Json{{"error", spec.reason()}});
   // A job once accepted stays so, whatever its body would be judged to be now.
   if (jobs_.find(ref) != nullptr) return answerKnown(request, ref);
-  if (!feed_.ready() || !context_.catalog) return context_.later(request);
+  if (!feed_.ready() || feed_.failing() || !context_.catalog) return context_.later(request);
   std::optional<std::string> why;
   if (spec) why = cannotRun(*spec);
   if (spec && !why) {
--- a/src/state/feed.cpp
+++ b/src/state/feed.cpp
@@ -23,7 +23,9 @@
     if (state_ == State::listing && !calling_) list();
     if (state_ == State::following && !watching_) watch();
   }
-  if (!waiting_.empty()) sendConfirm();
+  // Nobody may be waiting: a failing service is tried all the same, and what is known is kept fresh.
+  const auto stale = failing_ ? constants::kStateBackoff : constants::kFreshFor;
+  if (!waiting_.empty() || (state_ == State::following && now - triedAt_ > stale)) sendConfirm();
 }
 
 void Feed::list() {
@@ -102,6 +104,7 @@
 
 void Feed::confirm(Time now, Confirmed done) {
   now_ = now;
+  if (failing_) return done(false);
   waiting_.push_back(std::move(done));
   sendConfirm();
 }
@@ -116,6 +119,7 @@
   if (now_ < nextConfirm_) return;
   confirming_ = true;
   nextConfirm_ = now_ + confirmGap_;
+  triedAt_ = now_;
   const Time sent = now_;
   client_.changes(now_, Urgency::lease, prefix_, ledger_, std::chrono::milliseconds(0),
                   [this, sent, batch = std::exchange(waiting_, {}),
@@ -124,6 +128,8 @@
                     confirming_ = false;
                     if (result.status == 410) start(now_);
                     const bool ok = result.ok() && take(result.body);
+                    failing_ = !ok && (result.status == 0 || result.status == 503);
+                    if (failing_) failWaiting();
                     if (ok) confirmedAt_ = std::max(confirmedAt_, sent);
                     for (const Confirmed& done : batch) done(ok);
                   });
--- a/src/state/feed.hpp
+++ b/src/state/feed.hpp
@@ -28,6 +28,9 @@
   // Calls back once a read begun after this moment has brought in everything before it, or with false.
   void confirm(Time now, Confirmed done);
   bool ready() const { return everListed_; }
+  // The last confirming read got no answer or a refusal that is no matter of rates. Until one gets through
+  // again, who asks is told at once.
+  bool failing() const { return failing_; }
   // Everything that had happened by this time is known.
   Time confirmedAt() const { return confirmedAt_; }
 
@@ -56,7 +59,9 @@
   Time retryAt_{};
   Time confirmedAt_{};
   Time nextConfirm_{};
+  Time triedAt_{};
   bool confirming_ = false;
+  bool failing_ = false;
   std::vector<Confirmed> waiting_;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -245,6 +245,15 @@
       world.state.deny(nodeName(world, words.at(3)), seconds(4));
     } else if (what == "cut") {
       world.cut(words.at(3), words.at(4), seconds(5), words.at(6) == "hold");
+    } else if (what == "isolate") {
+      world.isolate(nodeName(world, words.at(3)), seconds(4));
+    } else if (what == "copies") {
+      world.copyShare = seconds(3);
+      world.copyLateS = seconds(4);
+    } else if (what == "calm") {
+      world.checker.calm(world.sim.now());
+    } else if (what == "deafen") {
+      if (auto* worker = machine()) worker->deafUntil = world.sim.now() + seconds(4);
     } else if (what == "cloud-outage") {
       world.cloudDownUntil = world.sim.now() + seconds(3);
     } else if (what == "lose-answers") {
@@ -297,6 +306,9 @@
       compare(static_cast<double>(world.state.changes()), 3);
     } else if (what == "requests") {
       compare(static_cast<double>(world.state.requests()), 3);
+    } else if (what == "served") {
+      for (const std::string& broken : world.checker.unserved())
+        ADD_FAILURE() << where.str() << ": " << broken;
     } else if (what == "up") {
       double up = 0;
       for (const auto& [host, worker] : world.workers) up += worker->alive() ? 1 : 0;
