--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -84,13 +84,15 @@
 inline constexpr milliseconds kIdleRoundGap = 200ms;  // after a round that found nothing to place or stop
 inline constexpr milliseconds kReplanEvery = 1s;    // time alone changes what may be placed: pauses, silence
 inline constexpr std::size_t kTasksPerRound = 400;  // placements of one round, so that rounds stay short
-inline constexpr std::size_t kStopsPerRound = 64;   // attempts stopped to make room in one round
-inline constexpr std::size_t kPagesPerRound = 4;  // pages of placements written by one round: half of 64 KiB
-inline constexpr std::size_t kPageBytes = 7000;   // bytes in JSON form; small pages are cheap to write again
-inline constexpr double kPageFill = 0.85;         // of the value limit, as bytes are estimated
-inline constexpr milliseconds kCleanEvery = 2s;   // pages with machines that are gone wait at most this long
-inline constexpr std::size_t kUnreapedMost = 40;  // attempts listed in reports before reaps go directly
-inline constexpr double kEstimateSlack = 0.5;     // of the estimate: owners are often wrong by half
+inline constexpr std::size_t kMatchedRooms =
+    48;  // with more machines free, jobs choose; with fewer, machines do
+inline constexpr std::size_t kStopsPerRound = 64;  // attempts stopped to make room in one round
+inline constexpr std::size_t kPagesPerRound = 4;   // pages of placements written by one round: half of 64 KiB
+inline constexpr std::size_t kPageBytes = 7000;    // bytes in JSON form; small pages are cheap to write again
+inline constexpr double kPageFill = 0.85;          // of the value limit, as bytes are estimated
+inline constexpr milliseconds kCleanEvery = 2s;    // pages with machines that are gone wait at most this long
+inline constexpr std::size_t kUnreapedMost = 40;   // attempts listed in reports before reaps go directly
+inline constexpr double kEstimateSlack = 0.5;      // of the estimate: owners are often wrong by half
 inline constexpr milliseconds kNoAimPatience = 5min;    // start aimed at for jobs for which no aim is stated
 inline constexpr milliseconds kOverlookedAfter = 150s;  // without a start: goes first; the largest have 240 s
 inline constexpr std::uint32_t kOverlookedShare = 8;  // an overlooked job gets this part of its tasks at once
@@ -101,13 +103,13 @@
 inline constexpr double kQuietReports = 1.6;   // overdue this many reports: counts towards a cut zone
 inline constexpr double kBootPatience = 3.0;   // times bootS before a machine counts as never coming
 inline constexpr milliseconds kBootPatienceLeast =
-    60s;                                            // least patience; some machines take several times longer
+    60s;                                          // least patience; some machines take several times longer
 inline constexpr milliseconds kPullInAfter = 3s;  // after loading: machines not heard from are asked directly
 inline constexpr int kPullInAtOnce = 40;          // machines asked in one half second
-inline constexpr int kSuspectErrors = 2;            // errors in a row after which a machine is looked into
-inline constexpr milliseconds kSuspectPause = 15s;  // without new work, while its jobs are tried elsewhere
-inline constexpr milliseconds kGoodAfter = 5s;      // running this long elsewhere clears a job
-inline constexpr milliseconds kJobErrorBackoff = 2s;       // first pause of a job whose tasks fail; doubles
+inline constexpr int kSuspectErrors = 2;          // errors in a row after which a machine is looked into
+inline constexpr milliseconds kSuspectPause = 15s;    // without new work, while its jobs are tried elsewhere
+inline constexpr milliseconds kGoodAfter = 5s;        // running this long elsewhere clears a job
+inline constexpr milliseconds kJobErrorBackoff = 2s;  // first pause of a job whose tasks fail; doubles
 inline constexpr milliseconds kJobErrorBackoffMost = 30s;  // longest pause of such a job
 inline constexpr int kWrongJobMachines = 3;         // machines a job must fail on before it is held for wrong
 inline constexpr milliseconds kListEvery = 10s;     // machine list: finds strangers and failed machines
@@ -143,6 +145,11 @@
 // --- Fleet: extensions ----------------------------------------------------------------------------------
 inline constexpr milliseconds kShortfallEvery = 1s;  // how often waiting work without room is looked for
 inline constexpr milliseconds kRefusedPause = 20s;   // a pool that refused a rental is not asked before
-inline constexpr double kSpareShare = 0.12;          // of the rooms used by prod work, kept free for its next
+inline constexpr milliseconds kVacateEvery = 2s;     // a machine is vacated in about one second
+inline constexpr milliseconds kVacateAge = 60s;  // of machine (paid so long anyway) and of the services on it
+inline constexpr std::size_t kVacateDivisor =
+    32;                                      // of a pool: so many leave at once, so that few services move
+inline constexpr double kVacateUsed = 0.6;   // more used than this, moving costs more than it saves
+inline constexpr double kSpareShare = 0.12;  // of the rooms used by prod work, kept free for its next
 
 }  // namespace reachhoist::constants
--- a/src/fleet/pools.hpp
+++ b/src/fleet/pools.hpp
@@ -51,4 +51,9 @@
 // Extension "idle": machines empty for longer than the operators' limit and not needed as spare room.
 std::vector<Machine*> idleReturns(const FleetWorld& world);
 
+// Extension "vacate": with nothing waiting or coming, the least used ordinary machines whose services have
+// room (and their image) on others of the same pool. Their services move, arrays end where they are; a few at
+// a time, and never below the spare room.
+std::vector<Machine*> vacations(const FleetWorld& world);
+
 }  // namespace reachhoist::fleet
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -126,7 +126,8 @@
   void onReturned(const std::vector<std::string>& hosts);
   void onListed(const std::vector<wire::HostEntry>& hosts);
   void describe(Machine& machine);
-  void retire(Machine& machine, const char* why);
+  // Its tasks are stopped, or (gently) only those that go on elsewhere at once.
+  void retire(Machine& machine, const char* why, bool gently = false);
   void condemn(Machine& machine, const char* why);
   void moveRetirements();
   void sizeFleet();
@@ -185,6 +186,7 @@
   std::map<cloud::PoolKey, Time> refusedUntil_;
   std::map<std::string, Time> returnedUntil_;  // lists older than the return still name them
   Time nextShortfall_{};
+  Time nextVacation_{};
   std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> shown_;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/src/service/owner_fleet.cpp
+++ b/src/service/owner_fleet.cpp
@@ -84,12 +84,13 @@
   }
 }
 
-void Owner::retire(Machine& machine, const char* why) {
+void Owner::retire(Machine& machine, const char* why, bool gently) {
   if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::booting) return;
   machine.returnReason = why;
   machine.to(MachinePhase::draining, context_.now);
   context_.event(Level::info, "draining", {{"machine", machine.host.text}, {"why", why}});
-  for (Attempt& attempt : machine.attempts) stop(machine, attempt, attempt.saves ? attempt.stowS + 1 : 0);
+  for (Attempt& attempt : machine.attempts)
+    if (!gently || attempt.daemon) stop(machine, attempt, attempt.saves ? attempt.stowS + 1 : 0);
 }
 
 void Owner::condemn(Machine& machine, const char* why) {
@@ -167,6 +168,9 @@
   const auto world = fleetWorld();
   for (const fleet::Rental& rental : fleet::shortfall(world)) rent(rental.pool, rental.count, "shortfall");
   for (Machine* machine : fleet::idleReturns(world)) retire(*machine, "idle");
+  if (context_.now < nextVacation_ || context_.now - actingSince_ < constants::kVacateAge) return;
+  nextVacation_ = context_.now + constants::kVacateEvery;
+  for (Machine* machine : fleet::vacations(world)) retire(*machine, "vacated", true);
 }
 
 }  // namespace reachhoist::service
