--- a/src/fleet/pools.cpp
+++ b/src/fleet/pools.cpp
@@ -198,7 +198,9 @@
       if (attempt.holdsRoom() && attempt.rank == wire::Rank::prod) pool.prod += attempt.each.vcpus;
   }
   const auto movable = [&](const Machine& machine, const Pool& pool) {
-    if (machine.recordBusy || world.now - machine.upSince < constants::kVacateAge) return false;
+    // An empty one is the affair of idle returns.
+    if (machine.empty() || machine.recordBusy || world.now - machine.upSince < constants::kVacateAge)
+      return false;
     for (const machines::Attempt& attempt : machine.attempts) {
       if (attempt.phase == machines::AttemptPhase::ended) continue;
       if (attempt.phase != machines::AttemptPhase::running || attempt.stopWanted) return false;
--- a/src/jobs/jobs.cpp
+++ b/src/jobs/jobs.cpp
@@ -178,4 +178,11 @@
   return found == jobs_.end() ? nullptr : &found->second;
 }
 
+bool endedDoneKey(JobTable& jobs, const std::string& key) {
+  constexpr std::string_view kPrefix = "done/";
+  if (!key.starts_with(kPrefix)) return false;
+  const Job* job = jobs.find(key.substr(kPrefix.size(), key.rfind('/') - kPrefix.size()));
+  return job != nullptr && !job->open();
+}
+
 }  // namespace reachhoist::jobs
--- a/src/jobs/jobs.hpp
+++ b/src/jobs/jobs.hpp
@@ -62,6 +62,10 @@
 Json encodeOpen(const Job& job);
 Json encodeFinal(const Job& job, JobPhase phase);
 
+class JobTable;
+// Whether the key is a record of progress of a job that has ended.
+bool endedDoneKey(JobTable& jobs, const std::string& key);
+
 class JobTable {
  public:
   enum class Change { none, accepted, ended, malformed };
--- a/src/machines/pages.cpp
+++ b/src/machines/pages.cpp
@@ -42,6 +42,19 @@
   return found == pages_.end() ? 0 : found->second.stamp;
 }
 
+void PageTable::loaded(std::uint32_t number, std::uint64_t stamp, std::set<std::string> hosts) {
+  Page& page = pages_[number];
+  page.stamp = stamp;
+  page.hosts = std::move(hosts);
+}
+
+std::vector<std::uint32_t> PageTable::naming(const std::string& host) const {
+  std::vector<std::uint32_t> out;
+  for (const auto& [number, page] : pages_)
+    if (page.hosts.contains(host)) out.push_back(number);
+  return out;
+}
+
 void PageTable::weigh(const MachineTable& machines) {
   for (auto& [number, page] : pages_) page.bytes = kPageFrame;
   std::vector<std::uint32_t> seen;
--- a/src/machines/pages.hpp
+++ b/src/machines/pages.hpp
@@ -12,8 +12,9 @@
 namespace reachhoist::machines {
 
 struct Page {
-  std::uint64_t stamp = 0;  // 0: not written yet
-  std::size_t bytes = 0;    // what is still held in it, counted in JSON form
+  std::uint64_t stamp = 0;      // 0: not written yet
+  std::size_t bytes = 0;        // what is still held in it, counted in JSON form
+  std::set<std::string> hosts;  // machines that its last written value names
 };
 
 std::string pageKey(std::uint32_t number);
@@ -33,9 +34,13 @@
   explicit PageTable(std::size_t valueBytes) : room_(valueBytes) {}
 
   void clear() { pages_.clear(); }
-  void loaded(std::uint32_t number, std::uint64_t stamp) { pages_[number].stamp = stamp; }
+  void loaded(std::uint32_t number, std::uint64_t stamp, std::set<std::string> hosts);
   std::uint64_t stamp(std::uint32_t number) const;
-  void written(std::uint32_t number, std::uint64_t stamp) { pages_[number].stamp = stamp; }
+  void written(std::uint32_t number, std::uint64_t stamp, std::set<std::string> hosts) {
+    loaded(number, stamp, std::move(hosts));
+  }
+  // Pages that name the machine.
+  std::vector<std::uint32_t> naming(const std::string& host) const;
   std::size_t size() const { return pages_.size(); }
 
   // Counts anew what each page still holds.
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -26,7 +26,8 @@
       finals_(context.state, context.settings.label + "-" + std::to_string(term) + "-f"),
       progress_(context.state, context.settings.label + "-" + std::to_string(term) + "-c"),
       placements_(context.state, context.settings.label + "-" + std::to_string(term) + "-p"),
-      records_(context.state, context.settings.label + "-" + std::to_string(term) + "-r"),
+      retiring_(context.state, context.settings.label + "-" + std::to_string(term) + "-r"),
+      cleaning_(context.state, context.settings.label + "-" + std::to_string(term) + "-d"),
       cloud_(std::make_unique<cloud::Client>(
           context.calls, context.settings, context.settings.label + "-" + std::to_string(term),
           cloud::Client::Handlers{
@@ -136,9 +137,12 @@
     context_.event(Level::error, "bad_record", {{"page", number}});
     return;
   }
-  // Even a page that can't be read has a stamp, and its next writing depends on it.
-  pages_.loaded(page, stamp);
   const auto hosts = machines::decodePage(value);
+  std::set<std::string> names;
+  if (hosts)
+    for (const machines::PagedHost& paged : *hosts) names.insert(paged.host);
+  // Even a page that can't be read has a stamp, and its next writing depends on it.
+  pages_.loaded(page, stamp, std::move(names));
   if (!hosts) {
     context_.event(Level::error, "bad_record", {{"page", number}});
     return;
@@ -281,7 +285,8 @@
   moveRetirements();
   advance();
   if (resigned_) return;
-  recordRound();
+  retiringRound();
+  cleaningRound();
   sizeFleet();
   copyLearned();
 }
@@ -291,7 +296,8 @@
   finals_.tick(context_.now);
   progress_.tick(context_.now);
   placements_.tick(context_.now);
-  records_.tick(context_.now);
+  retiring_.tick(context_.now);
+  cleaning_.tick(context_.now);
   finalRound();
   progressRound();
   placementRound();
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -116,9 +116,11 @@
   // Takes the assignments for which the round's pages have room.
   std::set<std::string> takeAssignments(const placement::Plan& plan, std::set<std::uint32_t>& pages,
                                         std::set<std::string>& jobs);
-  void onPlacements(const std::set<std::string>& hosts, const std::set<std::uint32_t>& pages,
+  using PageNames = std::map<std::uint32_t, std::set<std::string>>;  // machines that each page names
+  void onPlacements(const std::set<std::string>& hosts, const PageNames& pages,
                     const state::Outcome& outcome);
-  void recordRound();
+  void retiringRound();
+  void cleaningRound();
   void refusedBy(const state::Outcome& outcome, const char* what);
 
   // --- owner_fleet.cpp: renting, returning, sizing
@@ -162,12 +164,14 @@
   machines::PageTable pages_;
   std::set<std::uint32_t> stalePages_;  // that name machines which are gone
   Time nextClean_{};
+  Time nextProgress_{};
   std::uint64_t retiringStamp_ = 0;
   std::uint64_t attempts_ = 0;
   state::Committer finals_;
   state::Committer progress_;
   state::Committer placements_;
-  state::Committer records_;
+  state::Committer retiring_;
+  state::Committer cleaning_;
   std::set<std::string> finishedJobs_;  // whose final stage is not durable
   std::set<std::string> dirtyJobs_;     // with completions that are not durable
   std::deque<std::string> dirtyQueue_;  // the same, longest dirty first
--- a/src/service/owner_fleet.cpp
+++ b/src/service/owner_fleet.cpp
@@ -42,8 +42,7 @@
     if (machine == nullptr) continue;
     releaseAll(*machine, "machine gone");
     machine->to(MachinePhase::gone, context_.now);
-    for (const Attempt& attempt : machine->attempts)
-      if (attempt.paged) stalePages_.insert(*attempt.paged);
+    for (const std::uint32_t page : pages_.naming(host)) stalePages_.insert(page);
     context_.event(Level::info, "machine_gone", {{"machine", host}, {"why", machine->returnReason}});
     // A placement whose outcome is still open finds nothing left to launch, and that is right.
     for (Attempt& attempt : machine->attempts) release(*machine, attempt, "machine gone");
@@ -69,6 +68,9 @@
       stranger.lastHeard = context_.now;
       stranger.lastAnswered = electedAt_ + context_.settings.answerWindow();
       describe(stranger);
+      // Nothing is placed on it, but an earlier leader had it up: it will report, and must not be taken for
+      // one that never came up because of its age.
+      if (entry.stage == wire::HostStage::running) stranger.to(MachinePhase::up, context_.now);
       machine = &stranger;
     }
     if (machine->endpoint.empty()) machine->endpoint = entry.endpoint;
--- a/src/service/owner_rounds.cpp
+++ b/src/service/owner_rounds.cpp
@@ -10,6 +10,8 @@
   for (const std::string& key : outcome.failed) {
     if (key.starts_with("jobs/")) {
       jobFeed_.confirm(context_.now, [](bool) {});
+    } else if (jobs::endedDoneKey(jobs_, key)) {
+      // Its job became final while this waited for its turn, and its records of progress have been deleted.
     } else {
       // Somebody else has written what only an owner writes, or we know less than we think: start over.
       context_.event(Level::error, "refused", {{"what", what}, {"key", key}});
@@ -68,7 +70,10 @@
 }
 
 void Owner::progressRound() {
-  if (progress_.busy() || dirtyJobs_.empty()) return;
+  // Paced, so that less urgent writing gets its turn: what is lost without it is little, since a completed
+  // task that is started again ends at once.
+  if (progress_.busy() || dirtyJobs_.empty() || context_.now < nextProgress_) return;
+  nextProgress_ = context_.now + constants::kProgressGap;
   state::Transaction transaction;
   std::vector<std::pair<std::string, std::uint32_t>> chunks;
   const std::size_t most = context_.settings.stateTxnOps;
@@ -221,7 +226,10 @@
   if (pages.empty()) return;
   nextClean_ = context_.now + constants::kCleanEvery;
   state::Transaction transaction;
+  PageNames names;
   for (auto& [number, value] : pages_.encode(machines_, pages)) {
+    for (const auto& [host, entry] : value["hosts"].items()) names[number].insert(host);
+    names.try_emplace(number);
     transaction.conditions.push_back({machines::pageKey(number), pages_.stamp(number)});
     transaction.writes.push_back({machines::pageKey(number), std::move(value), std::nullopt});
   }
@@ -230,15 +238,15 @@
   for (auto& condition : partConditions()) transaction.conditions.push_back(std::move(condition));
   placements_.commit(
       context_.now, state::Urgency::place, std::move(transaction),
-      [this, hosts, pages](const state::Outcome& outcome) { onPlacements(hosts, pages, outcome); });
+      [this, hosts, names](const state::Outcome& outcome) { onPlacements(hosts, names, outcome); });
 }
 
-void Owner::onPlacements(const std::set<std::string>& hosts, const std::set<std::uint32_t>& pages,
+void Owner::onPlacements(const std::set<std::string>& hosts, const PageNames& pages,
                          const state::Outcome& outcome) {
   planDue_ = true;
   const bool applied = outcome.verdict == state::Verdict::applied;
   if (applied)
-    for (const std::uint32_t page : pages) pages_.written(page, outcome.stamp);
+    for (const auto& [page, named] : pages) pages_.written(page, outcome.stamp, named);
   for (const std::string& host : hosts) {
     Machine* machine = machines_.find(host);
     if (machine == nullptr) continue;
@@ -264,11 +272,10 @@
 
 // --- machines that go --------------------------------------------------------------------------------------
 
-void Owner::recordRound() {
-  if (records_.busy()) return;
-  state::Transaction transaction;
+// A lane of its own, as urgent as placements: until its return a machine is paid for, and what it held waits.
+void Owner::retiringRound() {
+  if (retiring_.busy()) return;
   std::vector<std::string> retiring;
-  std::vector<std::string> deletes;
   // One key names every machine that is being returned; those that are gone leave it with its next writing.
   Json names = Json::array();
   std::size_t bytes = 0;
@@ -284,32 +291,42 @@
     names.push_back(host);
     retiring.push_back(host);
   }
-  if (!retiring.empty()) {
-    transaction.conditions.push_back({kRetiringKey, retiringStamp_});
-    transaction.writes.push_back({kRetiringKey, Json{{"hosts", std::move(names)}}, std::nullopt});
-  }
+  if (retiring.empty()) return;
+  state::Transaction transaction;
+  transaction.conditions = partConditions();
+  transaction.conditions.push_back({kRetiringKey, retiringStamp_});
+  transaction.writes.push_back({kRetiringKey, Json{{"hosts", std::move(names)}}, std::nullopt});
+  retiring_.commit(context_.now, state::Urgency::place, std::move(transaction),
+                   [this, retiring](const state::Outcome& outcome) {
+                     const bool applied = outcome.verdict == state::Verdict::applied;
+                     if (applied) retiringStamp_ = outcome.stamp;
+                     for (const std::string& host : retiring) {
+                       Machine* machine = machines_.find(host);
+                       if (machine == nullptr) continue;
+                       machine->recordBusy = false;
+                       if (!applied) continue;
+                       machine->to(MachinePhase::returning, context_.now);
+                       cloud_->giveBack(context_.now, host);
+                     }
+                     if (!applied) refusedBy(outcome, "retiring");
+                   });
+}
+
+void Owner::cleaningRound() {
+  if (cleaning_.busy() || recordDeletes_.empty()) return;
+  state::Transaction transaction;
+  std::vector<std::string> deletes;
   for (const std::string& key : recordDeletes_) {
-    if (transaction.writes.size() >= context_.settings.stateTxnOps) break;
+    if (deletes.size() >= context_.settings.stateTxnOps) break;
     transaction.writes.push_back({key, std::nullopt, std::nullopt});
     deletes.push_back(key);
   }
-  if (transaction.writes.empty()) return;
-  for (auto& condition : partConditions()) transaction.conditions.push_back(std::move(condition));
-  records_.commit(context_.now, state::Urgency::rest, std::move(transaction),
-                  [this, retiring, deletes](const state::Outcome& outcome) {
-                    const bool applied = outcome.verdict == state::Verdict::applied;
-                    if (applied && !retiring.empty()) retiringStamp_ = outcome.stamp;
-                    for (const std::string& host : retiring) {
-                      Machine* machine = machines_.find(host);
-                      if (machine == nullptr) continue;
-                      machine->recordBusy = false;
-                      if (!applied) continue;
-                      machine->to(MachinePhase::returning, context_.now);
-                      cloud_->giveBack(context_.now, host);
-                    }
-                    if (!applied) return refusedBy(outcome, "records");
-                    for (const std::string& key : deletes) recordDeletes_.erase(key);
-                  });
+  transaction.conditions = partConditions();
+  cleaning_.commit(context_.now, state::Urgency::rest, std::move(transaction),
+                   [this, deletes](const state::Outcome& outcome) {
+                     if (outcome.verdict != state::Verdict::applied) return refusedBy(outcome, "cleaning");
+                     for (const std::string& key : deletes) recordDeletes_.erase(key);
+                   });
 }
 
 }  // namespace reachhoist::service
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -306,6 +306,8 @@
       compare(static_cast<double>(world.state.changes()), 3);
     } else if (what == "requests") {
       compare(static_cast<double>(world.state.requests()), 3);
+    } else if (what == "elections") {
+      compare(static_cast<double>(world.elections), 3);
     } else if (what == "served") {
       for (const std::string& broken : world.checker.unserved())
         ADD_FAILURE() << where.str() << ": " << broken;
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -59,6 +59,7 @@
   node.controller = std::make_unique<service::Controller>(
       node.settings, 1000 * node.life + static_cast<std::uint64_t>(sim.uniform(0, 1e6)),
       service::Level::debug, [this, label = node.settings.label](service::Level, const std::string& line) {
+        if (line.starts_with("event=elected")) ++elections;
         if (log) log(std::to_string(sim.now()) + " " + label + " " + line);
       });
   node.controller->start(sim.steady(), sim.wallMs());
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -132,6 +132,7 @@
   std::map<wire::TaskId, double> progress;
   std::map<std::string, std::unique_ptr<Worker>> workers;
   std::size_t rented = 0;
+  std::size_t elections = 0;
   std::function<void(const std::string&)> log;
 
   struct Node {
--- a/tests/unit/jobs_test.cpp
+++ b/tests/unit/jobs_test.cpp
@@ -69,6 +69,18 @@
   EXPECT_EQ(table.find("job-2"), nullptr);
 }
 
+TEST(JobTable, RefusedProgressOfAnEndedJobIsTold) {
+  // Such a refusal once made the leader resign: the job had become final and its progress been deleted
+  // meanwhile.
+  JobTable table;
+  table.apply("job-1", jobs::encodeOpen(job(2)), 5);
+  EXPECT_FALSE(jobs::endedDoneKey(table, "done/job-1/0"));
+  table.apply("job-1", jobs::encodeFinal(job(2), JobPhase::done), 6);
+  EXPECT_TRUE(jobs::endedDoneKey(table, "done/job-1/0"));
+  EXPECT_FALSE(jobs::endedDoneKey(table, "done/job-2/0"));
+  EXPECT_FALSE(jobs::endedDoneKey(table, "parts/0"));
+}
+
 TEST(Parts, HashIsFixedForEver) {
   // The result outlives the program: these values may never change.
   EXPECT_EQ(cluster::partOf("vm-000231", 3), cluster::partOf("vm-000231", 3));
@@ -84,6 +96,11 @@
   const auto again = peer::decode(frame);
   ASSERT_TRUE(again);
   EXPECT_EQ(std::get<peer::Relay>(again->what).report, std::get<peer::Relay>(message.what).report);
+  const auto hello = peer::decode(peer::encode(peer::Message{"hoist-0", peer::Hello{9, true, false}}));
+  ASSERT_TRUE(hello);
+  EXPECT_EQ(std::get<peer::Hello>(hello->what).term, 9U);
+  EXPECT_TRUE(std::get<peer::Hello>(hello->what).leading);
+  EXPECT_FALSE(std::get<peer::Hello>(hello->what).confirmed);
   peer::Progress progress{4, {{"job-1", 2, 3}}};
   const auto shown = peer::decode(peer::encode(peer::Message{"hoist-2", progress}));
   ASSERT_TRUE(shown);
