--- a/src/fleet/pools.cpp
+++ b/src/fleet/pools.cpp
@@ -50,11 +50,64 @@
   return wire::toSeconds(world.now - job.waitingSince) >= kPatienceS;
 }
 
+using ZoneCount = std::map<std::string, std::uint32_t>;
+
 struct Coming {
   PoolKey pool;
   wire::Resources room;
 };
 
+struct Queued {
+  placement::Unmet unmet;
+  ZoneCount byZone;
+};
+
+// Machines that will take work soon: booting, asked for, or up and not heard from both ways yet.
+std::vector<Coming> comingMachines(const FleetWorld& world) {
+  std::vector<Coming> out;
+  for (const Machine* machine : world.machines) {
+    const PoolKey key{machine->rig, machine->yard, machine->loaners};
+    if (machine->phase == machines::MachinePhase::booting) {
+      out.push_back(Coming{key, machine->total});
+    } else if (machine->phase == machines::MachinePhase::up && !machine->echoed && !machine->recallAt) {
+      out.push_back(Coming{key, machine->room()});
+    }
+  }
+  for (const auto& [key, rig] : allPools(world.catalog)) {
+    const auto found = world.pending.find(key);
+    for (std::size_t i = 0; found != world.pending.end() && i < found->second; ++i)
+      out.push_back(Coming{key, rig->room});
+  }
+  return out;
+}
+
+void fill(Queued& queued, Coming& machine) {
+  const wire::JobSpec& spec = queued.unmet.job->spec;
+  if (!placement::allows(spec, machine.pool.rig, machine.pool.yard, machine.pool.loaners)) return;
+  while (queued.unmet.tasks > 0 && spec.each.fitsIn(machine.room) &&
+         placement::zoneAllows(spec, queued.byZone, machine.pool.yard)) {
+    machine.room -= spec.each;
+    ++queued.byZone[machine.pool.yard];
+    --queued.unmet.tasks;
+  }
+}
+
+// Waiting work that the machines which are coming have no room for.
+std::vector<Queued> uncovered(const FleetWorld& world, std::vector<Coming>& coming) {
+  std::vector<Queued> out;
+  for (const placement::Unmet& unmet : world.unmet) {
+    const wire::JobSpec& spec = unmet.job->spec;
+    Queued queued{unmet, {}};
+    if (spec.apart || spec.oneZone) queued.byZone = placement::tasksByZone(*unmet.job, world.machines);
+    for (Coming& machine : coming) {
+      if (queued.unmet.tasks == 0) break;
+      fill(queued, machine);
+    }
+    if (queued.unmet.tasks > 0) out.push_back(std::move(queued));
+  }
+  return out;
+}
+
 }  // namespace
 
 std::vector<PoolView> viewPools(const FleetWorld& world) {
@@ -77,10 +130,14 @@
     used += machine->total.vcpus - machine->room().vcpus;
     total += machine->total.vcpus;
   }
+  // What a machine that is coming will take is no reason for another: that is the shortfall extension's
+  // doing.
+  auto coming = comingMachines(world);
+  const auto queue = uncovered(world, coming);
   for (auto& [key, view] : views) {
     if (const auto found = cpus.find(key); found != cpus.end() && found->second.second > 0)
       view.busyShare = found->second.first / found->second.second;
-    for (const placement::Unmet& unmet : world.unmet) {
+    for (const auto& [unmet, byZone] : queue) {
       if (!placement::allows(unmet.job->spec, key.rig, key.yard, key.loaners)) continue;
       view.queueWaitS = std::max(view.queueWaitS, wire::toSeconds(world.now - unmet.job->waitingSince));
       view.queuedTasks += static_cast<int>(unmet.tasks);
@@ -93,50 +150,31 @@
 
 std::vector<Rental> shortfall(const FleetWorld& world) {
   const auto pools = allPools(world.catalog);
-  std::vector<Coming> coming;
   std::map<PoolKey, int> sizes;
-  for (const Machine* machine : world.machines) {
-    if (!counts(*machine)) continue;
-    const PoolKey key{machine->rig, machine->yard, machine->loaners};
-    ++sizes[key];
-    // Up, but not heard from both ways yet: it takes work in a moment.
-    const bool soon = machine->phase == machines::MachinePhase::up && !machine->echoed && machine->empty();
-    if (machine->phase == machines::MachinePhase::booting || soon)
-      coming.push_back(Coming{key, machine->total});
-  }
-  for (const auto& [key, rig] : pools) {
-    const auto found = world.pending.find(key);
-    for (std::size_t i = 0; found != world.pending.end() && i < found->second; ++i)
-      coming.push_back(Coming{key, rig->room});
-  }
+  for (const Machine* machine : world.machines)
+    if (counts(*machine)) ++sizes[PoolKey{machine->rig, machine->yard, machine->loaners}];
+  auto coming = comingMachines(world);
   std::map<PoolKey, int> rentals;
-  for (const placement::Unmet& unmet : world.unmet) {
-    const wire::JobSpec& spec = unmet.job->spec;
-    auto byZone = placement::tasksByZone(*unmet.job, world.machines);
-    int left = static_cast<int>(unmet.tasks);
-    const auto fill = [&](Coming& machine) {
-      if (!placement::allows(spec, machine.pool.rig, machine.pool.yard, machine.pool.loaners)) return;
-      while (left > 0 && spec.each.fitsIn(machine.room) &&
-             placement::zoneAllows(spec, byZone, machine.pool.yard)) {
-        machine.room -= spec.each;
-        ++byZone[machine.pool.yard];
-        --left;
-      }
-    };
-    for (Coming& machine : coming) fill(machine);
-    while (left > 0) {
+  std::size_t rentedFrom = coming.size();  // what is rented here for earlier work takes later work too
+  for (Queued& queued : uncovered(world, coming)) {
+    const jobs::Job& job = *queued.unmet.job;
+    const wire::JobSpec& spec = job.spec;
+    for (std::size_t i = rentedFrom; i < coming.size() && queued.unmet.tasks > 0; ++i)
+      fill(queued, coming[i]);
+    while (queued.unmet.tasks > 0) {
       const PoolKey* best = nullptr;
       const wire::RigType* bestRig = nullptr;
       double bestCost = std::numeric_limits<double>::max();
       for (const auto& [key, rig] : pools) {
         if (world.refused.contains(key)) continue;
         if (!placement::allows(spec, key.rig, key.yard, key.loaners)) continue;
-        if (!placement::zoneAllows(spec, byZone, key.yard) || !urgent(world, *unmet.job, rig->bootS))
+        if (!placement::zoneAllows(spec, queued.byZone, key.yard) || !urgent(world, job, rig->bootS))
           continue;
         const int fit = tasksThatFit(spec.each, rig->room);
         if (fit < 1) continue;
         // Price of a task's room; a larger pool in one zone breaks ties the other way, to spread the risk.
-        const double cost = price(*rig, key.loaners) / std::min(fit, left) * (1 + 0.001 * sizes[key]);
+        const double cost = price(*rig, key.loaners) / std::min(fit, static_cast<int>(queued.unmet.tasks)) *
+                            (1 + 0.001 * sizes[key]);
         if (cost >= bestCost) continue;
         bestCost = cost;
         best = &key;
@@ -146,7 +184,7 @@
       ++rentals[*best];
       ++sizes[*best];
       coming.push_back(Coming{*best, bestRig->room});
-      fill(coming.back());
+      fill(queued, coming.back());
     }
   }
   std::vector<Rental> out;
