--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -12,9 +12,10 @@
 namespace {
 
 // Weights of the choice among machines with room, in seconds of delay that each is worth.
-constexpr double kWrongKindS = 6.0;  // ordinary machine for work that may use spot: its room is prod's
-constexpr double kEmptyS = 1.5;      // spreading out instead of filling up keeps machines from being returned
-constexpr double kSharedFetchS = 0.5;  // joining a fetch that is under way costs about half of it
+constexpr double kWrongKindS = 6.0;     // ordinary machine for work that may use spot: its room is prod's
+constexpr double kEmptyServiceS = 0.4;  // an empty machine that has the image beats a fuller one that has not
+constexpr double kEmptyArrayS = 3.0;    // filling machines up leaves others to be returned
+constexpr double kSharedFetchS = 0.5;   // joining a fetch that is under way costs about half of it
 
 using ZoneCount = std::map<std::string, std::uint32_t>;
 
@@ -163,7 +164,7 @@
     }
     if (job.spec.loaners && !machine.loaners) seconds += kWrongKindS;
     const double used = 1 - bin.room.vcpus / std::max(machine.total.vcpus, 0.01);
-    seconds += kEmptyS * (1 - used);
+    seconds += (job.spec.rank >= wire::Rank::high ? kEmptyServiceS : kEmptyArrayS) * (1 - used);
     return seconds;
   }
 
