--- a/src/cluster/leadership.cpp
+++ b/src/cluster/leadership.cpp
@@ -32,7 +32,11 @@
   now_ = now;
   feed_.tick(now);
   if (state_ == State::waiting && now >= nextTry_) {
-    if (permit_ != 0) {
+    if (!leader_.empty() && leader_ != settings_.label) {
+      // Somebody was faster while our own try was under way. Its stamps would let the next try take the lead
+      // from it.
+      to(State::observing);
+    } else if (permit_ != 0) {
       campaign();
     } else {
       lease();
