--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -99,6 +99,8 @@
 
 // --- Machines -------------------------------------------------------------------------------------------
 inline constexpr double kSilentReports = 3.0;  // missed reports after which a machine gets no new work
+inline constexpr double kProbeReports = 1.5;   // overdue this many reports (and 1 s): it is asked directly
+inline constexpr double kGoneReports = 2.0;    // the same, and it did not answer: it is given up
 inline constexpr double kQuietReports = 1.6;   // overdue this many reports: counts towards a cut zone
 inline constexpr double kBootPatience = 3.0;   // times bootS before a machine counts as never coming
 inline constexpr milliseconds kBootPatienceLeast =
--- a/src/service/owner_workers.cpp
+++ b/src/service/owner_workers.cpp
@@ -43,6 +43,7 @@
                     {"after_s", wire::toSeconds(context_.now - machine->rentedAt)}});
   }
   takeEvidence(*machine, report, Source::report);
+  machine->unreachable = false;
   machine->lastHeard = context_.now;
   machine->lastAnswered = std::max(machine->lastAnswered, context_.now);
   const auto orders = ordersFor(*machine, Source::report, report.tally);
@@ -435,6 +436,8 @@
   pullIn();
   const config::Settings& settings = context_.settings;
   const auto silentFor = wire::seconds(settings.reportS * constants::kSilentReports + 2);
+  const auto probeAfter = wire::seconds(settings.reportS * constants::kProbeReports + 1);
+  const auto goneFor = wire::seconds(settings.reportS * constants::kGoneReports + 1);
   // Several quiet machines of one zone are more likely cut off than dead, and relay needs a while to find its
   // way: condemning them would throw away work that runs. Then only the lease decides.
   const auto quietFor = wire::seconds(settings.reportS * constants::kQuietReports);
@@ -458,8 +461,16 @@
       releaseAll(machine, "lease over");
     }
     if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::draining) continue;
-    if (settled && context_.now - machine.lastHeard > silentFor && (over || !cut(machine.yard)))
-      condemn(machine, "silent");
+    const auto silent = context_.now - machine.lastHeard;
+    if (settled && silent > silentFor && (over || !cut(machine.yard))) condemn(machine, "silent");
+    // Overdue and out of reach as well: no need to wait for a third report.
+    if (settled && silent > probeAfter && !machine.probing && !machine.unreachable &&
+        !machine.endpoint.empty()) {
+      machine.probing = true;
+      inspect(machine);
+    }
+    if (settled && machine.unreachable && silent > goneFor && !cut(machine.yard))
+      condemn(machine, "unreachable");
     // It reports, but nothing that we send arrives: its lease has run out, and it is of no use to anybody.
     const bool deaf = !machine.echoed && machine.unechoedSince != Time{} &&
                       context_.now - machine.unechoedSince > settings.leaseOver() + constants::kDeafPatience;
@@ -491,9 +502,16 @@
   context_.calls.start(std::move(call), [this, host = machine.host.text,
                                          alive = std::weak_ptr<int>(alive_)](const wire::CallResult& result) {
     Machine* known = alive.lock() ? machines_.find(host) : nullptr;
+    if (known == nullptr) return;
+    known->probing = false;
+    if (result.status == 0) known->unreachable = true;
     auto report = wire::decodeReport(result.body);
-    if (known == nullptr || !result.ok() || !report || report->host.text != host) return;
+    if (!result.ok() || !report || report->host.text != host) return;
+    // That it can be asked does not make up for reports: without answers to those its lease runs out.
+    const Time heard = known->lastHeard;
     takeEvidence(*known, *report, Source::direct);
+    known->lastHeard = heard;
+    known->unreachable = false;
     // An empty command brings the token.
     if (!known->echoed) ordersDue(*known);
   });
