--- a/src/machines/machines.hpp
+++ b/src/machines/machines.hpp
@@ -78,7 +78,7 @@
   bool echoed = false;
   Time unechoedSince{};  // first answer with a token that it has not been seen with
   bool returnAsked = false;
-  const char* returnReason = "";
+  std::string_view returnReason;  // of a fixed text
   Time rentedAt{};
   Time upSince{};
   Time lastHeard{};
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -129,7 +129,8 @@
   void onListed(const std::vector<wire::HostEntry>& hosts);
   void describe(Machine& machine);
   // Its tasks are stopped, or (gently) only those that go on elsewhere at once.
-  void retire(Machine& machine, const char* why, bool gently = false);
+  void retire(Machine& machine, std::string_view why, bool gently = false);
+  void reopen();
   void condemn(Machine& machine, const char* why);
   void moveRetirements();
   void sizeFleet();
