--- a/src/fleet/pools.cpp
+++ b/src/fleet/pools.cpp
@@ -57,11 +57,6 @@
   wire::Resources room;
 };
 
-bool hasServices(const Machine& machine) {
-  return std::any_of(machine.attempts.begin(), machine.attempts.end(),
-                     [](const machines::Attempt& attempt) { return attempt.daemon && attempt.holdsRoom(); });
-}
-
 struct Queued {
   placement::Unmet unmet;
   ZoneCount byZone;
@@ -233,8 +228,7 @@
   for (Machine* machine : world.machines) {
     if (machine->loaners) continue;
     Pool& pool = pools[PoolKey{machine->rig, machine->yard, machine->loaners}];
-    // Arrays that end on a machine which is being vacated disturb nobody; services that move do.
-    if (machine->phase == machines::MachinePhase::draining && hasServices(*machine)) ++pool.leaving;
+    if (machine->phase == machines::MachinePhase::draining) ++pool.leaving;
     if (machine->phase != machines::MachinePhase::up || !machine->echoed || machine->recallAt) continue;
     pool.up.push_back(machine);
     pool.free += std::max(0.0, machine->room().vcpus);
@@ -271,7 +265,7 @@
       if (pool.free - machine->total.vcpus < spare + machine->total.vcpus) break;
       if (!movable(*machine, pool)) continue;
       pool.free -= machine->total.vcpus;
-      if (hasServices(*machine)) ++pool.leaving;
+      ++pool.leaving;
       out.push_back(machine);
     }
   }
--- a/src/machines/machines.hpp
+++ b/src/machines/machines.hpp
@@ -78,7 +78,7 @@
   bool echoed = false;
   Time unechoedSince{};  // first answer with a token that it has not been seen with
   bool returnAsked = false;
-  std::string_view returnReason;  // of a fixed text
+  const char* returnReason = "";
   Time rentedAt{};
   Time upSince{};
   Time lastHeard{};
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -129,8 +129,7 @@
   void onListed(const std::vector<wire::HostEntry>& hosts);
   void describe(Machine& machine);
   // Its tasks are stopped, or (gently) only those that go on elsewhere at once.
-  void retire(Machine& machine, std::string_view why, bool gently = false);
-  void reopen();
+  void retire(Machine& machine, const char* why, bool gently = false);
   void condemn(Machine& machine, const char* why);
   void moveRetirements();
   void sizeFleet();
--- a/src/service/owner_fleet.cpp
+++ b/src/service/owner_fleet.cpp
@@ -5,10 +5,6 @@
 
 namespace reachhoist::service {
 
-namespace {
-constexpr std::string_view kVacated = "vacated";
-}
-
 void Owner::describe(Machine& machine) {
   if (!context_.catalog) return;
   for (const wire::RigType& rig : *context_.catalog) {
@@ -47,8 +43,7 @@
     releaseAll(*machine, "machine gone");
     machine->to(MachinePhase::gone, context_.now);
     for (const std::uint32_t page : pages_.naming(host)) stalePages_.insert(page);
-    context_.event(Level::info, "machine_gone",
-                   {{"machine", host}, {"why", std::string(machine->returnReason)}});
+    context_.event(Level::info, "machine_gone", {{"machine", host}, {"why", machine->returnReason}});
     // A placement whose outcome is still open finds nothing left to launch, and that is right.
     for (Attempt& attempt : machine->attempts) release(*machine, attempt, "machine gone");
     machines_.remove(host);
@@ -91,11 +86,11 @@
   }
 }
 
-void Owner::retire(Machine& machine, std::string_view why, bool gently) {
+void Owner::retire(Machine& machine, const char* why, bool gently) {
   if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::booting) return;
   machine.returnReason = why;
   machine.to(MachinePhase::draining, context_.now);
-  context_.event(Level::info, "draining", {{"machine", machine.host.text}, {"why", std::string(why)}});
+  context_.event(Level::info, "draining", {{"machine", machine.host.text}, {"why", why}});
   for (Attempt& attempt : machine.attempts)
     if (!gently || attempt.daemon) stop(machine, attempt, attempt.saves ? attempt.stowS + 1 : 0);
 }
@@ -126,17 +121,6 @@
   }
 }
 
-// Work waits again: machines that were being vacated and are not empty yet take it.
-void Owner::reopen() {
-  for (auto& [host, machine] : machines_.all()) {
-    if (machine.phase != MachinePhase::draining || machine.returnReason != kVacated || machine.recallAt)
-      continue;
-    machine.to(MachinePhase::up, context_.now);
-    planDue_ = true;
-    context_.event(Level::info, "reopened", {{"machine", host}});
-  }
-}
-
 fleet::FleetWorld Owner::fleetWorld() {
   fleet::FleetWorld world{
       context_.settings, *context_.catalog, context_.now, context_.wallMs, allMachines(), unmet_, {}, {}};
@@ -186,10 +170,9 @@
   const auto world = fleetWorld();
   for (const fleet::Rental& rental : fleet::shortfall(world)) rent(rental.pool, rental.count, "shortfall");
   for (Machine* machine : fleet::idleReturns(world)) retire(*machine, "idle");
-  if (!world.unmet.empty()) reopen();
   if (context_.now < nextVacation_ || context_.now - actingSince_ < constants::kVacateAge) return;
   nextVacation_ = context_.now + constants::kVacateEvery;
-  for (Machine* machine : fleet::vacations(world)) retire(*machine, kVacated, true);
+  for (Machine* machine : fleet::vacations(world)) retire(*machine, "vacated", true);
 }
 
 }  // namespace reachhoist::service
