--- a/src/fleet/pools.cpp
+++ b/src/fleet/pools.cpp
@@ -259,10 +259,11 @@
               [](const Machine* a, const Machine* b) { return a->room().vcpus > b->room().vcpus; });
     for (Machine* machine : pool.up) {
       if (pool.leaving >= most) break;
-      // What it holds must find room elsewhere, and a machine's worth must stay free beyond the spare room.
+      // What it holds must find room elsewhere, and beyond the spare room two machines' worth must stay free,
+      // so that the loss of one uses up nothing that the next services need.
       const double used = machine->total.vcpus - machine->room().vcpus;
       if (used > machine->total.vcpus * constants::kVacateUsed) break;
-      if (pool.free - machine->total.vcpus < spare + machine->total.vcpus) break;
+      if (pool.free - machine->total.vcpus < spare + constants::kVacateKeep * machine->total.vcpus) break;
       if (!movable(*machine, pool)) continue;
       pool.free -= machine->total.vcpus;
       ++pool.leaving;
