--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -52,14 +52,22 @@
 inline constexpr milliseconds kConnectTimeout = 1500ms;  // three retransmissions on these networks
 inline constexpr milliseconds kHeadTimeout = 5s;         // a request's head and body must be here by then
 inline constexpr milliseconds kIdleTimeout = 75s;        // idle connections are closed; users poll each 5 s
-inline constexpr std::size_t kReservedSockets = 120;     // kept from servers' use for our own calls
-inline constexpr std::size_t kPoolPerEndpoint = 4;       // idle client connections kept to one address
-inline constexpr milliseconds kPoolIdle = 30s;           // an idle client connection is closed after this
-inline constexpr std::size_t kMaxAnswerBytes = 4 * 1024 * 1024;  // bytes; a watch answer has no other limit
-inline constexpr std::size_t kMaxFrameBytes = 256 * 1024;        // bytes of one peer message
-inline constexpr std::size_t kMaxPeerBacklog = 512 * 1024;       // bytes queued to a peer before dropping
-inline constexpr milliseconds kPeerRetry = 500ms;                // between connection tries to a sibling
-inline constexpr milliseconds kPeerBeat = 1s;  // progress messages, which also prove the link
+inline constexpr unsigned kOwnCallsDivisor =
+    8;  // of the sockets: our own calls get this part; workers need most
+inline constexpr unsigned kOwnCallsLeast = 60;   // sockets of our own calls on the smallest controllers
+inline constexpr unsigned kServiceSockets = 24;  // of those, never used for workers: state service, cloud
+inline constexpr unsigned kLinkSockets = 60;    // links with siblings (32 in, one out each), listeners, epoll
+inline constexpr unsigned kSocketsLeast = 240;  // a controller with fewer can't serve
+inline constexpr int kListenBacklog =
+    4096;  // all workers come at once when the leader changes; the system clamps it
+inline constexpr std::size_t kPoolPerEndpoint = 4;  // idle client connections kept to one address
+inline constexpr milliseconds kPoolIdle = 30s;      // an idle client connection is closed after this
+inline constexpr std::size_t kMaxAnswerBytes =
+    4 * 1024 * 1024;  // bytes; what a larger watch answer holds is listed
+inline constexpr std::size_t kMaxFrameBytes = 256 * 1024;   // bytes of one peer message
+inline constexpr std::size_t kMaxPeerBacklog = 512 * 1024;  // bytes queued to a peer before dropping
+inline constexpr milliseconds kPeerRetry = 500ms;           // between connection tries to a sibling
+inline constexpr milliseconds kPeerBeat = 1s;               // progress messages, which also prove the link
 
 // --- State service budget -------------------------------------------------------------------------------
 inline constexpr double kLeaderShare = 0.60;    // share of the state budgets that the leader may use
@@ -99,14 +107,17 @@
 
 // --- Machines -------------------------------------------------------------------------------------------
 inline constexpr double kSilentReports = 3.0;  // missed reports after which a machine gets no new work
-inline constexpr double kProbeReports = 1.5;   // overdue this many reports (and 1 s): it is asked directly
-inline constexpr double kGoneReports = 2.0;    // the same, and it did not answer: it is given up
-inline constexpr double kQuietReports = 1.6;   // overdue this many reports: counts towards a cut zone
-inline constexpr double kBootPatience = 3.0;   // times bootS before a machine counts as never coming
+inline constexpr double kProbeReports = 1.25;  // overdue this many reports (and 1 s): it is asked directly
+inline constexpr double kGoneReports = 2.0;    // the same (and 1 s), and it did not answer: it is given up
+inline constexpr double kQuietReports =
+    1.3;  // overdue this many reports (and 0.5 s): counts towards a cut zone
+inline constexpr double kMoveAtLease =
+    0.7;  // of the lease, silent in a cut zone: its services move if they can
+inline constexpr double kBootPatience = 3.0;  // times bootS before a machine counts as never coming
 inline constexpr milliseconds kBootPatienceLeast =
     60s;                                          // least patience; some machines take several times longer
 inline constexpr milliseconds kPullInAfter = 3s;  // after loading: machines not heard from are asked directly
-inline constexpr int kPullInAtOnce = 40;          // machines asked in one half second
+inline constexpr unsigned kPullInLeast = 20;      // machines asked in one half second, where sockets are few
 inline constexpr int kSuspectErrors = 2;          // errors in a row after which a machine is looked into
 inline constexpr milliseconds kSuspectPause = 15s;    // without new work, while its jobs are tried elsewhere
 inline constexpr milliseconds kGoodAfter = 5s;        // running this long elsewhere clears a job
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -113,6 +113,10 @@
   return nullptr;
 }
 
+unsigned Settings::ownCallSockets() const {
+  return std::max(constants::kOwnCallsLeast, maxConnections / constants::kOwnCallsDivisor);
+}
+
 std::chrono::milliseconds Settings::answerWindow() const {
   // A lease renewed at the very end of the window must have run out, on the slowest clock, within cancel_s.
   const double windowS = cancelS * (1 - constants::kClockDrift) - leaseS * (1 + constants::kClockDrift);
@@ -196,7 +200,7 @@
   Reader limits = facts.map("limits");
   limits.amount("core_share", out.coreShare, 0.001);
   limits.amount("ram_mb", out.ramMb, 8);
-  limits.count("max_connections", out.maxConnections, 2 * constants::kReservedSockets);
+  limits.count("max_connections", out.maxConnections, constants::kSocketsLeast);
   facts.amount("clock_off_ms", out.clockOffMs, 0);
   // Without this no answer to a worker could be safe: see docs/safety.md, point 7.
   if (!problem && out.answerWindow() < std::chrono::milliseconds(static_cast<long>(out.reportS * 1000)))
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -76,6 +76,12 @@
   const Team* team(const std::string& name) const;
   const Sibling* sibling(const std::string& name) const;
 
+  // How the sockets are shared out: our own calls, of them those to workers at once, and the rest for whom we
+  // serve.
+  unsigned ownCallSockets() const;
+  unsigned workerCallsMost() const { return ownCallSockets() - constants::kServiceSockets; }
+  unsigned serverSockets() const { return maxConnections - ownCallSockets() - constants::kLinkSockets; }
+
   // How long after its last confirmed ownership a controller may still answer reports (safety point 7).
   std::chrono::milliseconds answerWindow() const;
   // How long after the last answer that could have reached a worker its tasks are certainly gone.
--- a/src/fleet/pools.cpp
+++ b/src/fleet/pools.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <string_view>
+#include <unordered_map>
 
 namespace reachhoist::fleet {
 
@@ -92,13 +94,37 @@
   }
 }
 
+// What can't be reached in a zone that is cut off.
+bool lost(const FleetWorld& world, const Machine& machine) {
+  return machine.unreachable && world.cut.contains(machine.yard);
+}
+
+// The work with, for jobs that care, where their other tasks are; counted in one pass over the machines.
+std::vector<Queued> queue(const FleetWorld& world, const std::vector<placement::Unmet>& work, bool withLost) {
+  std::vector<Queued> out;
+  std::unordered_map<std::string_view, ZoneCount*> zoned;
+  out.reserve(work.size());
+  for (const placement::Unmet& unmet : work) {
+    out.push_back(Queued{unmet, {}});
+    if (unmet.job->spec.apart || unmet.job->spec.oneZone)
+      zoned[unmet.job->spec.ref.text] = &out.back().byZone;
+  }
+  if (zoned.empty()) return out;
+  for (const Machine* machine : world.machines) {
+    if (!withLost && lost(world, *machine)) continue;
+    for (const machines::Attempt& attempt : machine->attempts) {
+      if (!attempt.holdsRoom()) continue;
+      const auto found = zoned.find(attempt.task.job.text);
+      if (found != zoned.end()) ++(*found->second)[machine->yard];
+    }
+  }
+  return out;
+}
+
 // Waiting work that the machines which are coming have no room for.
 std::vector<Queued> uncovered(const FleetWorld& world, std::vector<Coming>& coming) {
   std::vector<Queued> out;
-  for (const placement::Unmet& unmet : world.unmet) {
-    const wire::JobSpec& spec = unmet.job->spec;
-    Queued queued{unmet, {}};
-    if (spec.apart || spec.oneZone) queued.byZone = placement::tasksByZone(*unmet.job, world.machines);
+  for (Queued& queued : queue(world, world.unmet, true)) {
     for (Coming& machine : coming) {
       if (queued.unmet.tasks == 0) break;
       fill(queued, machine);
@@ -108,6 +134,26 @@
   return out;
 }
 
+// Services that end with their leases, as far as neither free room nor what is coming will take them.
+std::vector<Queued> uncoveredServices(const FleetWorld& world, std::vector<Coming> room) {
+  std::vector<Queued> out;
+  if (world.endangered.empty()) return out;
+  for (const Machine* machine : world.machines) {
+    if (machine->phase != machines::MachinePhase::up || !machine->echoed || machine->recallAt ||
+        lost(world, *machine))
+      continue;
+    room.push_back(Coming{PoolKey{machine->rig, machine->yard, machine->loaners}, machine->room()});
+  }
+  for (Queued& queued : queue(world, world.endangered, false)) {
+    for (Coming& machine : room) {
+      if (queued.unmet.tasks == 0) break;
+      fill(queued, machine);
+    }
+    if (queued.unmet.tasks > 0) out.push_back(std::move(queued));
+  }
+  return out;
+}
+
 }  // namespace
 
 std::vector<PoolView> viewPools(const FleetWorld& world) {
@@ -155,8 +201,13 @@
     if (counts(*machine)) ++sizes[PoolKey{machine->rig, machine->yard, machine->loaners}];
   auto coming = comingMachines(world);
   std::map<PoolKey, int> rentals;
-  std::size_t rentedFrom = coming.size();  // what is rented here for earlier work takes later work too
-  for (Queued& queued : uncovered(world, coming)) {
+  const std::size_t rentedFrom = coming.size();  // what is rented here for earlier work takes later work too
+  std::vector<Queued> work = uncovered(world, coming);
+  for (Queued& queued : uncoveredServices(world, coming)) work.push_back(std::move(queued));
+  // While a zone is cut off, machines there would be of no use, unless there is no other.
+  const bool elsewhere = std::any_of(pools.begin(), pools.end(),
+                                     [&](const auto& pool) { return !world.cut.contains(pool.first.yard); });
+  for (Queued& queued : work) {
     const jobs::Job& job = *queued.unmet.job;
     const wire::JobSpec& spec = job.spec;
     for (std::size_t i = rentedFrom; i < coming.size() && queued.unmet.tasks > 0; ++i)
@@ -166,7 +217,7 @@
       const wire::RigType* bestRig = nullptr;
       double bestCost = std::numeric_limits<double>::max();
       for (const auto& [key, rig] : pools) {
-        if (world.refused.contains(key)) continue;
+        if (world.refused.contains(key) || (elsewhere && world.cut.contains(key.yard))) continue;
         if (!placement::allows(spec, key.rig, key.yard, key.loaners)) continue;
         if (!placement::zoneAllows(spec, queued.byZone, key.yard) || !urgent(world, job, rig->bootS))
           continue;
--- a/src/fleet/pools.hpp
+++ b/src/fleet/pools.hpp
@@ -39,13 +39,17 @@
   std::vector<Machine*> machines;
   std::vector<placement::Unmet> unmet;
   std::set<PoolKey> refused;
-  std::map<PoolKey, std::size_t> pending;  // asked for, no answer yet
+  std::map<PoolKey, std::size_t> pending;    // asked for, no answer yet
+  std::set<std::string> cut;                 // zones that seem cut off
+  std::vector<placement::Unmet> endangered;  // services on machines there, whose leases are running out
 };
 
 std::vector<PoolView> viewPools(const FleetWorld& world);
 
 // Extension "shortfall": work for which no machine, up or coming, has room, and that can't wait for the
-// rounds. Rents what a packing of that work needs; acts on nothing once the queue is placed.
+// rounds. Rents what a packing of that work needs; acts on nothing once the queue is placed. The services of
+// a zone that is cut off count as waiting before their leases have run out: a boot takes about as long as a
+// lease.
 std::vector<Rental> shortfall(const FleetWorld& world);
 
 // Extension "idle": machines empty for longer than the operators' limit and not needed as spare room.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 constexpr std::size_t kReadChunk = 16 * 1024;  // bytes
+constexpr int kTooLarge = 413;                 // the parser's word for a body over the limit
 
 // A kept connection on which the other side has sent an end (or anything at all) is of no more use.
 bool stillOpen(int fd) {
@@ -21,26 +22,41 @@
 }
 }  // namespace
 
-std::unique_ptr<Socket> HttpClient::takeKept(const std::string& endpoint) {
-  const auto found = kept_.find(endpoint);
-  if (found == kept_.end()) return nullptr;
-  auto& kept = found->second;
+void HttpClient::drop(KeptList::iterator kept) {
+  const auto found = byEndpoint_.find(kept->endpoint);
+  std::erase(found->second, kept);
+  if (found->second.empty()) byEndpoint_.erase(found);
+  kept_.erase(kept);
+}
+
+void HttpClient::dropOld() {
   const Time oldest = reactor_.now() - constants::kPoolIdle;
-  while (!kept.empty() && kept.front().since < oldest) kept.pop_front();
+  while (!kept_.empty() && kept_.front().since < oldest) drop(kept_.begin());
+}
+
+void HttpClient::makeRoom() {
+  while (!kept_.empty() && inUse_ + kept_.size() >= socketsMost_) drop(kept_.begin());
+}
+
+std::unique_ptr<Socket> HttpClient::takeKept(const std::string& endpoint) {
+  dropOld();
   std::unique_ptr<Socket> socket;
-  while (!kept.empty() && !socket) {
-    socket = std::move(kept.back().socket);
-    kept.pop_back();
+  while (!socket) {
+    const auto found = byEndpoint_.find(endpoint);
+    if (found == byEndpoint_.end()) break;
+    const auto newest = found->second.back();
+    socket = std::move(newest->socket);
+    drop(newest);
     if (!stillOpen(socket->fd())) socket.reset();
   }
-  if (kept.empty()) kept_.erase(found);
   return socket;
 }
 
 void HttpClient::keep(const std::string& endpoint, std::unique_ptr<Socket> socket) {
-  auto& kept = kept_[endpoint];
-  kept.push_back(Kept{std::move(socket), reactor_.now()});
-  if (kept.size() > constants::kPoolPerEndpoint) kept.pop_front();
+  makeRoom();
+  auto& ours = byEndpoint_[endpoint];
+  ours.push_back(kept_.insert(kept_.end(), Kept{endpoint, std::move(socket), reactor_.now()}));
+  if (ours.size() > constants::kPoolPerEndpoint) drop(ours.front());
 }
 
 Task<ClientResult> HttpClient::call(std::string endpoint, std::string method, std::string target,
@@ -49,8 +65,16 @@
   const Time deadline = reactor_.now() + timeout;
   Address address;
   if (!Address::parse(endpoint, address)) co_return result;
+  struct Use {
+    std::size_t& count;
+    explicit Use(std::size_t& of) : count(of) { ++count; }
+    Use(const Use&) = delete;
+    ~Use() { --count; }
+  };
   std::unique_ptr<Socket> socket = takeKept(endpoint);
+  const Use use(inUse_);
   if (!socket) {
+    makeRoom();
     const Time connectBy = std::min(deadline, reactor_.now() + constants::kConnectTimeout);
     socket = co_await connectTo(reactor_, address, connectBy);
   }
@@ -68,7 +92,10 @@
     }
     parser.feed({chunk.data(), got});
   }
-  if (parser.state() != HttpParser::State::complete) co_return result;
+  if (parser.state() != HttpParser::State::complete) {
+    result.tooLarge = parser.state() == HttpParser::State::failed && parser.failureStatus() == kTooLarge;
+    co_return result;
+  }
   result.status = parser.message().status;
   result.retryAfterS = parser.message().retryAfterS;
   result.body = std::move(parser.message().body);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -34,6 +34,8 @@
       if (errno == EAGAIN || errno == EWOULDBLOCK) {
         co_await listener_->readable(Time::max());
       } else if (errno != EINTR && errno != ECONNABORTED) {
+        // Out of descriptors: whoever has been idle longest makes room for the next.
+        closeIdlest();
         co_await reactor_.sleepUntil(reactor_.now() + kAcceptPause);
       }
       continue;
@@ -58,11 +60,12 @@
 }
 
 Task<void> HttpServer::serve(std::list<Connection>::iterator connection) {
-  co_await converse(*connection);
+  co_await converse(connection);
   connections_.erase(connection);
 }
 
-Task<void> HttpServer::converse(Connection& connection) {
+Task<void> HttpServer::converse(std::list<Connection>::iterator at) {
+  Connection& connection = *at;
   HttpParser parser(HttpParser::Kind::request, constants::kMaxBodyBytes);
   std::array<char, kReadChunk> chunk;
   Time deadline = reactor_.now() + constants::kHeadTimeout;
@@ -104,11 +107,7 @@
     connection.idle = parser.idle();
     deadline = reactor_.now() + (connection.idle ? constants::kIdleTimeout : constants::kHeadTimeout);
     // Most recently used last.
-    for (auto at = connections_.begin(); at != connections_.end(); ++at) {
-      if (&*at != &connection) continue;
-      connections_.splice(connections_.end(), connections_, at);
-      break;
-    }
+    connections_.splice(connections_.end(), connections_, at);
   }
 }
 
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -40,7 +40,7 @@
 
   Task<void> acceptLoop();
   Task<void> serve(std::list<Connection>::iterator connection);
-  Task<void> converse(Connection& connection);
+  Task<void> converse(std::list<Connection>::iterator at);
   bool closeIdlest();
 
   Reactor& reactor_;
--- a/src/net/reactor.cpp
+++ b/src/net/reactor.cpp
@@ -14,11 +14,12 @@
 #include <stdexcept>
 #include <system_error>
 
+#include "config/constants.hpp"
+
 namespace reachhoist::net {
 
 namespace {
 constexpr int kEventsPerTurn = 64;
-constexpr int kBacklog = 512;
 
 sockaddr_in toSockaddr(const Address& address) {
   sockaddr_in out{};
@@ -206,7 +207,7 @@
   const sockaddr_in where = toSockaddr(address);
   if (!fd || ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) != 0 ||
       ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&where), sizeof where) != 0 ||
-      ::listen(fd.get(), kBacklog) != 0) {
+      ::listen(fd.get(), constants::kListenBacklog) != 0) {
     error = std::strerror(errno);
     return Fd{};
   }
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -359,15 +359,6 @@
   return job.allowsRig(rig);
 }
 
-std::map<std::string, std::uint32_t> tasksByZone(const Job& job, const std::vector<Machine*>& machines) {
-  std::map<std::string, std::uint32_t> out;
-  for (const Machine* machine : machines) {
-    for (const machines::Attempt& attempt : machine->attempts)
-      if (attempt.holdsRoom() && attempt.task.job == job.spec.ref) out[machine->yard] += 1;
-  }
-  return out;
-}
-
 bool zoneAllows(const wire::JobSpec& job, const std::map<std::string, std::uint32_t>& placed,
                 const std::string& zone) {
   if (job.oneZone) {
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -61,8 +61,7 @@
 
 Plan plan(const World& world);
 
-// Tasks of the job that one zone may still take (`oneZone`, `apart`), given those placed now.
-std::map<std::string, std::uint32_t> tasksByZone(const Job& job, const std::vector<Machine*>& machines);
+// Whether one more task may go to the zone (`oneZone`, `apart`), given those placed now.
 bool zoneAllows(const wire::JobSpec& job, const std::map<std::string, std::uint32_t>& placed,
                 const std::string& zone);
 
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -93,11 +93,16 @@
   void raiseFence(Machine& machine);
   void noteEcho(Machine& machine);
   std::vector<wire::Order> ordersFor(Machine& machine, Source via, std::uint64_t tally);
+  bool mayCallWorker() const;
   void sendDirects();
   void sendDirect(Machine& machine);
   void onDirect(const std::string& host, std::uint64_t baton, std::uint64_t shift,
                 const std::vector<wire::Order>& orders, const wire::CallResult& result);
   void watchSilence();
+  void findCuts();
+  void moveServices();
+  // Placed work that its users miss at once when it ends.
+  static bool service(const Attempt& attempt);
   void pullIn();
   void inspect(Machine& machine);
   void useNotice(Machine& machine);
@@ -134,6 +139,8 @@
   void moveRetirements();
   void sizeFleet();
   fleet::FleetWorld fleetWorld();
+  // Services on machines that are cut off, by job.
+  std::vector<placement::Unmet> endangered();
   void rent(const cloud::PoolKey& pool, int count, const char* why);
   std::vector<Machine*> allMachines();
 
@@ -175,12 +182,14 @@
   std::set<std::string> finishedJobs_;  // whose final stage is not durable
   std::set<std::string> dirtyJobs_;     // with completions that are not durable
   std::deque<std::string> dirtyQueue_;  // the same, longest dirty first
+  std::size_t workerCalls_ = 0;         // direct commands and questions to workers under way
   std::set<std::string> due_;           // machines with orders that a direct command should carry
   std::set<std::pair<std::string, std::uint32_t>> flyingChunks_;
   bool planDue_ = true;
   Time nextPlan_{};
   Time replanAt_{};
   Time nextSilenceCheck_{};
+  std::set<std::string> cutYards_;  // zones that seem cut off
   std::vector<placement::Unmet> unmet_;
   std::set<std::string> recordDeletes_;
 
--- a/src/service/owner_fleet.cpp
+++ b/src/service/owner_fleet.cpp
@@ -121,9 +121,25 @@
   }
 }
 
+std::vector<placement::Unmet> Owner::endangered() {
+  std::map<std::string, std::uint32_t> tasks;
+  for (const auto& [host, machine] : machines_.all()) {
+    if (machine.phase != MachinePhase::up || !machine.unreachable || !cutYards_.contains(machine.yard))
+      continue;
+    for (const Attempt& attempt : machine.attempts)
+      if (service(attempt)) ++tasks[attempt.task.job.text];
+  }
+  std::vector<placement::Unmet> out;
+  for (const auto& [ref, count] : tasks)
+    if (const jobs::Job* job = jobs_.find(ref); job != nullptr && job->open())
+      out.push_back(placement::Unmet{job, count});
+  return out;
+}
+
 fleet::FleetWorld Owner::fleetWorld() {
   fleet::FleetWorld world{
-      context_.settings, *context_.catalog, context_.now, context_.wallMs, allMachines(), unmet_, {}, {}};
+      context_.settings, *context_.catalog, context_.now, context_.wallMs, allMachines(), unmet_, {}, {},
+      cutYards_,         endangered()};
   std::erase_if(world.unmet, [](const placement::Unmet& unmet) { return !unmet.job->open(); });
   std::erase_if(refusedUntil_, [this](const auto& entry) { return entry.second <= context_.now; });
   for (const auto& [pool, until] : refusedUntil_) world.refused.insert(pool);
--- a/src/service/owner_workers.cpp
+++ b/src/service/owner_workers.cpp
@@ -365,8 +365,11 @@
   return reaps;
 }
 
+bool Owner::mayCallWorker() const { return workerCalls_ < context_.settings.workerCallsMost(); }
+
 void Owner::sendDirects() {
-  for (auto at = due_.begin(); at != due_.end();) {
+  // The rest waits for sockets: machines that don't answer hold theirs for up to the time limit.
+  for (auto at = due_.begin(); at != due_.end() && mayCallWorker();) {
     Machine* machine = machines_.find(*at);
     if (machine != nullptr && machine->ordersDue && (machine->direct || context_.now < machine->nextDirect)) {
       ++at;
@@ -386,6 +389,7 @@
   for (const wire::Order& order : orders)
     if (order.verb == wire::Verb::launch) ++machine.find(order.load, order.attempt)->directs;
   machine.direct = true;
+  ++workerCalls_;
   wire::Call call;
   call.to = wire::Service::worker;
   call.endpoint = machine.endpoint;
@@ -397,7 +401,9 @@
   call.timeout = constants::kWorkerTimeout;
   context_.calls.start(std::move(call), [this, host = machine.host.text, baton, shift = machine.shift, orders,
                                          alive = std::weak_ptr<int>(alive_)](const wire::CallResult& result) {
-    if (alive.lock()) onDirect(host, baton, shift, orders, result);
+    if (!alive.lock()) return;
+    --workerCalls_;
+    onDirect(host, baton, shift, orders, result);
   });
 }
 
@@ -430,25 +436,68 @@
     takeEvidence(*machine, *report, Source::direct);
 }
 
+bool Owner::service(const Attempt& attempt) {
+  return attempt.holdsRoom() && attempt.phase != AttemptPhase::planned && !attempt.stopWanted &&
+         attempt.rank >= wire::Rank::high;
+}
+
+// Several quiet machines of one zone are more likely cut off than dead, and relay needs a while to find its
+// way: condemning them would throw away work that runs. Then only the lease decides, or, shortly before it
+// does, room for their services elsewhere.
+void Owner::findCuts() {
+  const auto quietFor = wire::seconds(context_.settings.reportS * constants::kQuietReports + 0.5);
+  std::map<std::string, int> up;
+  std::map<std::string, int> quiet;
+  for (const auto& [host, machine] : machines_.all()) {
+    if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::draining) continue;
+    ++up[machine.yard];
+    if (context_.now - machine.lastHeard > quietFor) ++quiet[machine.yard];
+  }
+  cutYards_.clear();
+  for (const auto& [yard, count] : quiet)
+    if (count > 1 && count * 4 > up[yard]) cutYards_.insert(yard);
+}
+
+// The services of machines that are cut off have little of their leases left. The cloud's answer to a return
+// proves at once that they have ended, so where there is room they move now and not after the lease's
+// margins.
+void Owner::moveServices() {
+  if (cutYards_.empty() || !sure()) return;
+  double room = 0;
+  for (const auto& [host, machine] : machines_.all()) {
+    const bool reached = machine.phase == MachinePhase::up && machine.echoed && !machine.unreachable &&
+                         !machine.recallAt && !machine.loaners;
+    if (reached) room += std::max(0.0, machine.room().vcpus);
+    // On its way out already, its services will take of the same room.
+    if (machine.phase == MachinePhase::retiring || machine.phase == MachinePhase::returning)
+      for (const Attempt& attempt : machine.attempts)
+        if (service(attempt)) room -= attempt.each.vcpus;
+  }
+  for (const placement::Unmet& unmet : unmet_)
+    if (unmet.job->spec.rank >= wire::Rank::high) room -= unmet.job->spec.each.vcpus * unmet.tasks;
+  const auto moveAfter = wire::seconds(context_.settings.leaseS * constants::kMoveAtLease);
+  for (auto& [host, machine] : machines_.all()) {
+    if (machine.phase != MachinePhase::up || !machine.unreachable || !cutYards_.contains(machine.yard) ||
+        context_.now - machine.lastHeard < moveAfter)
+      continue;
+    double cpus = 0;
+    for (const Attempt& attempt : machine.attempts)
+      if (service(attempt)) cpus += attempt.each.vcpus;
+    if (cpus == 0 || cpus > room) continue;
+    room -= cpus;
+    condemn(machine, "cut off");
+  }
+}
+
 void Owner::watchSilence() {
   if (context_.now < nextSilenceCheck_) return;
   nextSilenceCheck_ = context_.now + constants::kTick * 10;
   pullIn();
+  findCuts();
   const config::Settings& settings = context_.settings;
   const auto silentFor = wire::seconds(settings.reportS * constants::kSilentReports + 2);
   const auto probeAfter = wire::seconds(settings.reportS * constants::kProbeReports + 1);
   const auto goneFor = wire::seconds(settings.reportS * constants::kGoneReports + 1);
-  // Several quiet machines of one zone are more likely cut off than dead, and relay needs a while to find its
-  // way: condemning them would throw away work that runs. Then only the lease decides.
-  const auto quietFor = wire::seconds(settings.reportS * constants::kQuietReports);
-  std::map<std::string, int> up;
-  std::map<std::string, int> quiet;
-  for (const auto& [host, machine] : machines_.all()) {
-    if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::draining) continue;
-    ++up[machine.yard];
-    if (context_.now - machine.lastHeard > quietFor) ++quiet[machine.yard];
-  }
-  const auto cut = [&](const std::string& yard) { return quiet[yard] > 1 && quiet[yard] * 4 > up[yard]; };
   const bool settled = context_.now - actingSince_ > silentFor && sure();
   for (auto& [host, machine] : machines_.all()) {
     if (machine.phase == MachinePhase::gone) continue;
@@ -462,37 +511,39 @@
     }
     if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::draining) continue;
     const auto silent = context_.now - machine.lastHeard;
-    if (settled && silent > silentFor && (over || !cut(machine.yard))) condemn(machine, "silent");
+    const bool cut = cutYards_.contains(machine.yard);
+    if (settled && silent > silentFor && (over || !cut)) condemn(machine, "silent");
     // Overdue and out of reach as well: no need to wait for a third report.
     if (settled && silent > probeAfter && !machine.probing && !machine.unreachable &&
-        !machine.endpoint.empty()) {
+        !machine.endpoint.empty() && mayCallWorker()) {
       machine.probing = true;
       inspect(machine);
     }
-    if (settled && machine.unreachable && silent > goneFor && !cut(machine.yard))
-      condemn(machine, "unreachable");
+    if (settled && machine.unreachable && silent > goneFor && !cut) condemn(machine, "unreachable");
     // It reports, but nothing that we send arrives: its lease has run out, and it is of no use to anybody.
     const bool deaf = !machine.echoed && machine.unechoedSince != Time{} &&
                       context_.now - machine.unechoedSince > settings.leaseOver() + constants::kDeafPatience;
     if (settled && deaf && machine.phase == MachinePhase::up) condemn(machine, "deaf");
   }
+  if (settled) moveServices();
 }
 
 // Workers that an earlier leader still answers would stay with it for as long as it believes itself entitled.
 // One that sees our token finds that leader's answers void and comes to us.
 void Owner::pullIn() {
   if (context_.now - actingSince_ < constants::kPullInAfter || !sure()) return;
-  int out = 0;
+  unsigned left = std::max(constants::kPullInLeast, context_.settings.workerCallsMost() / 4);
   for (auto& [host, machine] : machines_.all()) {
     if (machine.phase != MachinePhase::up || machine.tally != 0 || machine.pulled || machine.endpoint.empty())
       continue;
-    if (++out > constants::kPullInAtOnce) return;
+    if (left-- == 0 || !mayCallWorker()) return;
     machine.pulled = true;
     inspect(machine);
   }
 }
 
 void Owner::inspect(Machine& machine) {
+  ++workerCalls_;
   wire::Call call;
   call.to = wire::Service::worker;
   call.endpoint = machine.endpoint;
@@ -501,7 +552,9 @@
   call.timeout = constants::kWorkerTimeout;
   context_.calls.start(std::move(call), [this, host = machine.host.text,
                                          alive = std::weak_ptr<int>(alive_)](const wire::CallResult& result) {
-    Machine* known = alive.lock() ? machines_.find(host) : nullptr;
+    if (!alive.lock()) return;
+    --workerCalls_;
+    Machine* known = machines_.find(host);
     if (known == nullptr) return;
     known->probing = false;
     if (result.status == 0) known->unreachable = true;
--- a/src/service/runtime.cpp
+++ b/src/service/runtime.cpp
@@ -7,14 +7,14 @@
 Runtime::Runtime(const config::Settings& settings, Level level, Context::LogSink sink)
     : settings_(settings),
       controller_(settings, std::random_device{}(), level, std::move(sink)),
-      server_(reactor_, settings.maxConnections - constants::kReservedSockets,
+      server_(reactor_, settings.serverSockets(),
               [this](std::uint64_t number, net::HttpMessage request) {
                 controller_.onRequest(reactor_.now(), wallMs(),
                                       Request{number, std::move(request.method), std::move(request.target),
                                               std::move(request.body)});
                 act();
               }),
-      client_(reactor_),
+      client_(reactor_, settings.ownCallSockets()),
       peers_(reactor_, [this](const std::string& frame) {
         if (const auto message = peer::decode(frame)) {
           controller_.onPeer(reactor_.now(), wallMs(), *message);
@@ -74,6 +74,7 @@
       co_await client_.call(call.endpoint, call.method, call.path, std::move(body), call.timeout);
   wire::CallResult result;
   result.sent = answer.sent;
+  result.tooLarge = answer.tooLarge;
   if (answer.status != 0) {
     result.status = answer.status;
     if (!answer.body.empty()) {
--- a/src/state/feed.cpp
+++ b/src/state/feed.cpp
@@ -86,6 +86,10 @@
   return true;
 }
 
+// What has changed is no longer known there, or is more than one answer may hold: asked again, it would be
+// the same. Pages of keys are bounded.
+bool Feed::mustList(const wire::CallResult& result) { return result.status == 410 || result.tooLarge; }
+
 void Feed::watch() {
   watching_ = true;
   client_.changes(now_, urgency_, prefix_, ledger_, constants::kWatchBlock,
@@ -93,7 +97,7 @@
                     if (!alive.lock()) return;
                     watching_ = false;
                     if (state_ != State::following) return;
-                    if (result.status == 410) return start(now_);
+                    if (mustList(result)) return start(now_);
                     if (!result.ok() || !take(result.body)) {
                       retryAt_ = now_ + constants::kStateBackoff;
                       return;
@@ -126,9 +130,9 @@
                    alive = std::weak_ptr<int>(alive_)](const wire::CallResult& result) {
                     if (!alive.lock()) return;
                     confirming_ = false;
-                    if (result.status == 410) start(now_);
+                    if (mustList(result)) start(now_);
                     const bool ok = result.ok() && take(result.body);
-                    failing_ = !ok && (result.status == 0 || result.status == 503);
+                    failing_ = !ok && !result.tooLarge && (result.status == 0 || result.status == 503);
                     if (failing_) failWaiting();
                     if (ok) confirmedAt_ = std::max(confirmedAt_, sent);
                     for (const Confirmed& done : batch) done(ok);
--- a/src/state/feed.hpp
+++ b/src/state/feed.hpp
@@ -42,6 +42,7 @@
   void sendConfirm();
   void failWaiting();
   bool take(const Json& answer);
+  static bool mustList(const wire::CallResult& result);
 
   Client& client_;
   std::string prefix_;
--- a/src/wire/exchange.hpp
+++ b/src/wire/exchange.hpp
@@ -37,6 +37,7 @@
   int status = 0;     // 0: no answer, or one that could not be read
   bool sent = false;  // false: the other side certainly got nothing
   Json body;
+  bool tooLarge = false;  // the answer was longer than is taken, and would be again
   bool ok() const { return status == 200; }
   bool unknown() const { return status == 0 && sent; }
 };
