--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -65,6 +65,7 @@
 inline constexpr std::size_t kMaxAnswerBytes =
     4 * 1024 * 1024;  // bytes; what a larger watch answer holds is listed
 inline constexpr std::size_t kMaxFrameBytes = 256 * 1024;   // bytes of one peer message
+inline constexpr std::size_t kProgressJobs = 2000;          // named in one such message: some 60 bytes each
 inline constexpr std::size_t kMaxPeerBacklog = 512 * 1024;  // bytes queued to a peer before dropping
 inline constexpr milliseconds kPeerRetry = 500ms;           // between connection tries to a sibling
 inline constexpr milliseconds kPeerBeat = 1s;               // progress messages, which also prove the link
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -22,41 +22,14 @@
 }
 }  // namespace
 
-void HttpClient::drop(KeptList::iterator kept) {
-  const auto found = byEndpoint_.find(kept->endpoint);
-  std::erase(found->second, kept);
-  if (found->second.empty()) byEndpoint_.erase(found);
-  kept_.erase(kept);
-}
-
-void HttpClient::dropOld() {
-  const Time oldest = reactor_.now() - constants::kPoolIdle;
-  while (!kept_.empty() && kept_.front().since < oldest) drop(kept_.begin());
-}
-
-void HttpClient::makeRoom() {
-  while (!kept_.empty() && inUse_ + kept_.size() >= socketsMost_) drop(kept_.begin());
-}
+HttpClient::HttpClient(Reactor& reactor, std::size_t socketsMost)
+    : reactor_(reactor), kept_(socketsMost, constants::kPoolPerEndpoint, constants::kPoolIdle) {}
 
 std::unique_ptr<Socket> HttpClient::takeKept(const std::string& endpoint) {
-  dropOld();
-  std::unique_ptr<Socket> socket;
-  while (!socket) {
-    const auto found = byEndpoint_.find(endpoint);
-    if (found == byEndpoint_.end()) break;
-    const auto newest = found->second.back();
-    socket = std::move(newest->socket);
-    drop(newest);
-    if (!stillOpen(socket->fd())) socket.reset();
+  for (;;) {
+    auto socket = kept_.take(endpoint, reactor_.now());
+    if (!socket || stillOpen(socket->fd())) return socket;
   }
-  return socket;
-}
-
-void HttpClient::keep(const std::string& endpoint, std::unique_ptr<Socket> socket) {
-  makeRoom();
-  auto& ours = byEndpoint_[endpoint];
-  ours.push_back(kept_.insert(kept_.end(), Kept{endpoint, std::move(socket), reactor_.now()}));
-  if (ours.size() > constants::kPoolPerEndpoint) drop(ours.front());
 }
 
 Task<ClientResult> HttpClient::call(std::string endpoint, std::string method, std::string target,
@@ -74,7 +47,7 @@
   std::unique_ptr<Socket> socket = takeKept(endpoint);
   const Use use(inUse_);
   if (!socket) {
-    makeRoom();
+    kept_.makeRoom(inUse_);
     const Time connectBy = std::min(deadline, reactor_.now() + constants::kConnectTimeout);
     socket = co_await connectTo(reactor_, address, connectBy);
   }
@@ -99,7 +72,7 @@
   result.status = parser.message().status;
   result.retryAfterS = parser.message().retryAfterS;
   result.body = std::move(parser.message().body);
-  if (parser.message().keepAlive) keep(endpoint, std::move(socket));
+  if (parser.message().keepAlive) kept_.keep(endpoint, std::move(socket), inUse_ - 1, reactor_.now());
   co_return result;
 }
 
--- a/src/service/controller.cpp
+++ b/src/service/controller.cpp
@@ -283,8 +283,15 @@
     context_.peerOut.push_back(PeerSend{sibling.label, peer::Message{settings_.label, hello}});
   if (!owner_) return;
   const peer::Progress progress = owner_->progress(++beats_ % kFullBeats == 0);
-  for (const config::Sibling& sibling : settings_.siblings)
-    context_.peerOut.push_back(PeerSend{sibling.label, peer::Message{settings_.label, progress}});
+  // In parts, since a frame that is too large would be dropped whole, each time again.
+  for (std::size_t from = 0; from < progress.jobs.size(); from += constants::kProgressJobs) {
+    const std::size_t to = std::min(progress.jobs.size(), from + constants::kProgressJobs);
+    const auto begin = progress.jobs.begin();
+    const peer::Progress part{
+        progress.term, {begin + static_cast<std::ptrdiff_t>(from), begin + static_cast<std::ptrdiff_t>(to)}};
+    for (const config::Sibling& sibling : settings_.siblings)
+      context_.peerOut.push_back(PeerSend{sibling.label, peer::Message{settings_.label, part}});
+  }
 }
 
 // --- machine types -----------------------------------------------------------------------------------------
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -9,6 +9,10 @@
 constexpr const char* kPagePrefix = "placed/";
 constexpr const char* kDonePrefix = "done/";
 constexpr const char* kLearnedKey = "fleet/learned";
+
+std::size_t valueRoom(const config::Settings& settings) {
+  return static_cast<std::size_t>(settings.stateValueKb * 1024 * constants::kPageFill);
+}
 }  // namespace
 
 Owner::Owner(Context& context, cluster::Leadership& leadership, state::Feed& jobFeed, jobs::JobTable& jobs,
@@ -20,9 +24,8 @@
       term_(term),
       partsStamp_(partsStamp),
       electedAt_(context.now),
-      pages_(std::min<std::size_t>(
-          constants::kPageBytes,
-          static_cast<std::size_t>(context.settings.stateValueKb * 1024 * constants::kPageFill))),
+      pages_(std::min<std::size_t>(constants::kPageBytes, valueRoom(context.settings))),
+      valueRoom_(valueRoom(context.settings)),
       finals_(context.state, context.settings.label + "-" + std::to_string(term) + "-f"),
       progress_(context.state, context.settings.label + "-" + std::to_string(term) + "-c"),
       placements_(context.state, context.settings.label + "-" + std::to_string(term) + "-p"),
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -173,6 +173,7 @@
   Time nextClean_{};
   Time nextProgress_{};
   std::uint64_t retiringStamp_ = 0;
+  std::size_t valueRoom_;  // bytes that one value may hold, in JSON form
   std::uint64_t attempts_ = 0;
   state::Committer finals_;
   state::Committer progress_;
--- a/src/service/owner_rounds.cpp
+++ b/src/service/owner_rounds.cpp
@@ -281,7 +281,7 @@
   std::size_t bytes = 0;
   const auto fits = [&](const std::string& host) {
     bytes += host.size() + 3;
-    return bytes < constants::kPageBytes / 2;
+    return bytes < valueRoom_;
   };
   for (const auto& [host, machine] : machines_.all())
     if (machine.phase == MachinePhase::returning && fits(host)) names.push_back(host);
