--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 constexpr std::size_t kReadChunk = 16 * 1024;  // bytes
+constexpr int kTooLarge = 413;                 // the parser's word for a body over the limit
 
 // A kept connection on which the other side has sent an end (or anything at all) is of no more use.
 bool stillOpen(int fd) {
@@ -21,26 +22,14 @@
 }
 }  // namespace
 
+HttpClient::HttpClient(Reactor& reactor, std::size_t socketsMost)
+    : reactor_(reactor), kept_(socketsMost, constants::kPoolPerEndpoint, constants::kPoolIdle) {}
+
 std::unique_ptr<Socket> HttpClient::takeKept(const std::string& endpoint) {
-  const auto found = kept_.find(endpoint);
-  if (found == kept_.end()) return nullptr;
-  auto& kept = found->second;
-  const Time oldest = reactor_.now() - constants::kPoolIdle;
-  while (!kept.empty() && kept.front().since < oldest) kept.pop_front();
-  std::unique_ptr<Socket> socket;
-  while (!kept.empty() && !socket) {
-    socket = std::move(kept.back().socket);
-    kept.pop_back();
-    if (!stillOpen(socket->fd())) socket.reset();
+  for (;;) {
+    auto socket = kept_.take(endpoint, reactor_.now());
+    if (!socket || stillOpen(socket->fd())) return socket;
   }
-  if (kept.empty()) kept_.erase(found);
-  return socket;
-}
-
-void HttpClient::keep(const std::string& endpoint, std::unique_ptr<Socket> socket) {
-  auto& kept = kept_[endpoint];
-  kept.push_back(Kept{std::move(socket), reactor_.now()});
-  if (kept.size() > constants::kPoolPerEndpoint) kept.pop_front();
 }
 
 Task<ClientResult> HttpClient::call(std::string endpoint, std::string method, std::string target,
@@ -49,8 +38,16 @@
   const Time deadline = reactor_.now() + timeout;
   Address address;
   if (!Address::parse(endpoint, address)) co_return result;
+  struct Use {
+    std::size_t& count;
+    explicit Use(std::size_t& of) : count(of) { ++count; }
+    Use(const Use&) = delete;
+    ~Use() { --count; }
+  };
   std::unique_ptr<Socket> socket = takeKept(endpoint);
+  const Use use(inUse_);
   if (!socket) {
+    kept_.makeRoom(inUse_);
     const Time connectBy = std::min(deadline, reactor_.now() + constants::kConnectTimeout);
     socket = co_await connectTo(reactor_, address, connectBy);
   }
@@ -68,11 +65,14 @@
     }
     parser.feed({chunk.data(), got});
   }
-  if (parser.state() != HttpParser::State::complete) co_return result;
+  if (parser.state() != HttpParser::State::complete) {
+    result.tooLarge = parser.state() == HttpParser::State::failed && parser.failureStatus() == kTooLarge;
+    co_return result;
+  }
   result.status = parser.message().status;
   result.retryAfterS = parser.message().retryAfterS;
   result.body = std::move(parser.message().body);
-  if (parser.message().keepAlive) keep(endpoint, std::move(socket));
+  if (parser.message().keepAlive) kept_.keep(endpoint, std::move(socket), inUse_ - 1, reactor_.now());
   co_return result;
 }
 
