--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -152,8 +152,9 @@
 inline constexpr std::size_t kFrontierMost = 32;  // points kept (ours)
 inline constexpr milliseconds kCopyEvery = 60s;   // the buffer's copy in the state service (DESIGN)
 inline constexpr double kWaitMostTargets = 6.0;   // targets of wait at which normalised wait reaches 1 (ours)
-inline constexpr double kPoolMost =
-    16.0;  // machines at which the size feature and normalised cost reach 1 (ours)
+inline constexpr double kPoolSmall = 16.0;  // machines up to which size and cost are taken absolutely (ours)
+inline constexpr double kPoolDoublings =
+    4.0;  // of larger pools for as much of the size feature as the first 16 machines
 
 // --- Fleet: extensions ----------------------------------------------------------------------------------
 inline constexpr milliseconds kShortfallEvery = 1s;  // how often waiting work without room is looked for
--- a/src/fleet/sizing.cpp
+++ b/src/fleet/sizing.cpp
@@ -1,6 +1,7 @@
 #include "fleet/sizing.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace reachhoist::fleet {
 
@@ -10,6 +11,11 @@
 double targetS() { return wire::toSeconds(constants::kQueueTarget); }
 }  // namespace
 
+double sizeFeature(int machines) {
+  const double share = machines / constants::kPoolSmall;
+  return share <= 1 ? share : 1 + std::log2(share) / constants::kPoolDoublings;
+}
+
 int unitOf(int machines, int divisor) { return std::max(1, machines / std::max(1, divisor)); }
 
 // The validator: the nearest step that the limits and cooldowns allow.
@@ -37,7 +43,7 @@
   const auto scaled = [](double value, double most) { return std::clamp(value / most, 0.0, 1.0); };
   return Context{scaled(pool.queueWaitS, constants::kWaitMostTargets * targetS()),
                  scaled(pool.queuedTasks, 8 * machines), pool.busyShare, pool.idle / machines,
-                 scaled(pool.machines, constants::kPoolMost)};
+                 sizeFeature(pool.machines)};
 }
 
 void Sizing::score(const PoolView& pool, PoolState& state) {
@@ -83,8 +89,12 @@
     before.waitMostS = before.waitBaselineS;
     before.targetS = targetS();
     before.costBefore = pool.machines * pool.ratePerHour;
-    before.costBudget = constants::kPoolMost * std::max(pool.ratePerHour, 1e-6);
-    before.costMost = before.costBudget;
+    // A step of a large pool is weighed against that pool: against a few machines' money any would look
+    // ruinous.
+    const double rate = std::max(pool.ratePerHour, 1e-6);
+    before.costBudget = std::max<double>(constants::kPoolSmall, pool.machines) * rate;
+    const double grown = pool.machines * (1.0 + 1.0 * constants::kStepMost / constants::kStepDivisor);
+    before.costMost = std::max(constants::kPoolSmall, grown) * rate;
     before.units = units;
     state.open = Open{context, before};
     if (units == 0) continue;
--- a/src/fleet/sizing.hpp
+++ b/src/fleet/sizing.hpp
@@ -19,6 +19,8 @@
 };
 
 // A unit is an eighth of the pool, at least one machine.
+// Rises by the machine in small pools, by the doubling in large ones, so that it tells hundreds from dozens.
+double sizeFeature(int machines);
 int unitOf(int machines, int divisor);
 
 class Sizing {
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -191,6 +191,7 @@
   Time replanAt_{};
   Time nextSilenceCheck_{};
   std::set<std::string> cutYards_;  // zones that seem cut off
+  bool selfCut_ = false;            // most machines are quiet, wherever they are
   std::vector<placement::Unmet> unmet_;
   std::set<std::string> recordDeletes_;
 
--- a/src/service/owner_fleet.cpp
+++ b/src/service/owner_fleet.cpp
@@ -122,6 +122,7 @@
 }
 
 std::vector<placement::Unmet> Owner::endangered() {
+  if (selfCut_) return {};
   std::map<std::string, std::uint32_t> tasks;
   for (const auto& [host, machine] : machines_.all()) {
     if (machine.phase != MachinePhase::up || !machine.unreachable || !cutYards_.contains(machine.yard))
--- a/src/service/owner_workers.cpp
+++ b/src/service/owner_workers.cpp
@@ -453,16 +453,24 @@
     ++up[machine.yard];
     if (context_.now - machine.lastHeard > quietFor) ++quiet[machine.yard];
   }
+  int allUp = 0;
+  int allQuiet = 0;
   cutYards_.clear();
-  for (const auto& [yard, count] : quiet)
-    if (count > 1 && count * 4 > up[yard]) cutYards_.insert(yard);
+  for (const auto& [yard, count] : up) {
+    allUp += count;
+    allQuiet += quiet[yard];
+    if (quiet[yard] > 1 && quiet[yard] * 4 > count) cutYards_.insert(yard);
+  }
+  // Nearly all of them: it is this controller that is cut off from workers, until relay has found its way.
+  selfCut_ = allQuiet * 4 > allUp * 3;
 }
 
 // The services of machines that are cut off have little of their leases left. The cloud's answer to a return
 // proves at once that they have ended, so where there is room they move now and not after the lease's
 // margins.
+// What has not been heard since the leader changed may have been cut off from the earlier one for long.
 void Owner::moveServices() {
-  if (cutYards_.empty() || !sure()) return;
+  if (cutYards_.empty() || selfCut_) return;
   double room = 0;
   for (const auto& [host, machine] : machines_.all()) {
     const bool reached = machine.phase == MachinePhase::up && machine.echoed && !machine.unreachable &&
@@ -476,9 +484,10 @@
   for (const placement::Unmet& unmet : unmet_)
     if (unmet.job->spec.rank >= wire::Rank::high) room -= unmet.job->spec.each.vcpus * unmet.tasks;
   const auto moveAfter = wire::seconds(context_.settings.leaseS * constants::kMoveAtLease);
+  const auto unheardFor = wire::seconds(context_.settings.reportS * constants::kGoneReports + 1);
   for (auto& [host, machine] : machines_.all()) {
     if (machine.phase != MachinePhase::up || !machine.unreachable || !cutYards_.contains(machine.yard) ||
-        context_.now - machine.lastHeard < moveAfter)
+        context_.now - machine.lastHeard < (machine.tally == 0 ? unheardFor : moveAfter))
       continue;
     double cpus = 0;
     for (const Attempt& attempt : machine.attempts)
@@ -499,6 +508,8 @@
   const auto probeAfter = wire::seconds(settings.reportS * constants::kProbeReports + 1);
   const auto goneFor = wire::seconds(settings.reportS * constants::kGoneReports + 1);
   const bool settled = context_.now - actingSince_ > silentFor && sure();
+  // A machine that was asked and can't be reached needs no time to find a new leader.
+  const bool asked = context_.now - actingSince_ > goneFor && sure();
   for (auto& [host, machine] : machines_.all()) {
     if (machine.phase == MachinePhase::gone) continue;
     judge(machine);
@@ -519,13 +530,13 @@
       machine.probing = true;
       inspect(machine);
     }
-    if (settled && machine.unreachable && silent > goneFor && !cut) condemn(machine, "unreachable");
+    if (asked && machine.unreachable && silent > goneFor && !cut) condemn(machine, "unreachable");
     // It reports, but nothing that we send arrives: its lease has run out, and it is of no use to anybody.
     const bool deaf = !machine.echoed && machine.unechoedSince != Time{} &&
                       context_.now - machine.unechoedSince > settings.leaseOver() + constants::kDeafPatience;
     if (settled && deaf && machine.phase == MachinePhase::up) condemn(machine, "deaf");
   }
-  if (settled) moveServices();
+  if (asked) moveServices();
 }
 
 // Workers that an earlier leader still answers would stay with it for as long as it believes itself entitled.
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -151,6 +151,22 @@
   EXPECT_TRUE(down.round(at(95), {pool(0, 30)}).empty());     // a pool of zero has no eighth
 }
 
+// At hundreds of machines every pool looked alike, and any step as costly as the whole budget.
+TEST_F(SizingTest, SizeAndCostStayTellingAtHundredsOfMachines) {
+  EXPECT_DOUBLE_EQ(fleet::sizeFeature(4), 0.25);
+  EXPECT_DOUBLE_EQ(fleet::sizeFeature(16), 1);
+  EXPECT_DOUBLE_EQ(fleet::sizeFeature(256), 2);
+  EXPECT_LT(fleet::sizeFeature(128), fleet::sizeFeature(256));
+  fleet::Sizing sizing(settings, 1);
+  ASSERT_EQ(sizing.round(at(0), {pool(256, 12)}).at(0).machines, 64);
+  sizing.round(at(30), {pool(320, 0)});
+  // Wait: 0.7 * 12/30. Cost: -0.3 * 64/256. Proactive: (12/5 - 1) * 2.5 * 0.3. First of its frontier: 1 and
+  // the area beyond (0, 1), which is none.
+  ASSERT_EQ(sizing.buffer().all().size(), 1U);
+  EXPECT_NEAR(sizing.buffer().all()[0].payoff, std::min(2.0, 0.28 - 0.075 + 1.05 + 1), 1e-9);
+  EXPECT_DOUBLE_EQ(sizing.frontier().points().at(0).cost, 1);
+}
+
 TEST_F(SizingTest, ARefusedRentalIsNoStep) {
   fleet::Sizing sizing(settings, 1);
   ASSERT_EQ(sizing.round(at(0), {pool(8, 30)}).size(), 1U);
