--- a/tests/standin/worker.cpp
+++ b/tests/standin/worker.cpp
@@ -58,6 +58,8 @@
 
 void Worker::checkLease() {
   if (world_.sim.now() - leaseFrom_ <= world_.base.leaseS) return;
+  const double excusedUntil = std::max(hungUntil_, deafUntil) + world_.base.leaseS;
+  if (world_.sim.now() > excusedUntil || excusedUntil == world_.base.leaseS) ++world_.leasesLost;
   forgetAll();
   ++shift_;
   leaseFrom_ = world_.sim.now();
