--- a/src/cluster/leadership.cpp
+++ b/src/cluster/leadership.cpp
@@ -164,6 +164,13 @@
   resign(why);
 }
 
+void Leadership::stepDown(const char* why) {
+  if (state_ != State::leading) return;
+  client_.endLease(now_, permit_);
+  depose(why);
+  nextTry_ = now_ + constants::kAbstain;
+}
+
 void Leadership::resign(const char* why) {
   if (state_ != State::leading) return;
   to(State::observing);
--- a/src/cluster/leadership.hpp
+++ b/src/cluster/leadership.hpp
@@ -31,6 +31,8 @@
   void tick(Time now);
   // Gives up what this life holds in memory; the key is taken anew under a higher term.
   void resign(const char* why);
+  // Leaves the lead to a sibling that may fare better, and does not try for it for a while.
+  void stepDown(const char* why);
 
   bool leading() const { return state_ == State::leading; }
   std::uint64_t term() const { return term_; }
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -28,6 +28,11 @@
 inline constexpr milliseconds kLeaderRenew = 800ms;    // a third of the TTL less one slow answer
 inline constexpr milliseconds kConfirmEvery = 1s;      // ownership and cancellations are re-read this often
 inline constexpr milliseconds kElectionRetry = 300ms;  // between tries to take a vacant leadership
+inline constexpr milliseconds kAbstain =
+    20s;  // after leaving the lead to a sibling; it needs as long to be heard
+inline constexpr milliseconds kSelfCutPatience =
+    3s;                                  // nearly all machines overdue for this long more: relay fails too
+inline constexpr int kSelfCutLeast = 8;  // machines that must be up for such a judgement
 inline constexpr milliseconds kElectionSpread = 200ms;  // random addition, so that rivals don't collide
 
 // --- Time limits of calls -------------------------------------------------------------------------------
--- a/src/service/owner_workers.cpp
+++ b/src/service/owner_workers.cpp
@@ -448,9 +448,11 @@
   const auto quietFor = wire::seconds(context_.settings.reportS * constants::kQuietReports + 0.5);
   std::map<std::string, int> up;
   std::map<std::string, int> quiet;
+  int heard = 0;
   for (const auto& [host, machine] : machines_.all()) {
     if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::draining) continue;
     ++up[machine.yard];
+    if (machine.tally != 0) ++heard;
     if (context_.now - machine.lastHeard > quietFor) ++quiet[machine.yard];
   }
   int allUp = 0;
@@ -463,6 +465,11 @@
   }
   // Nearly all of them: it is this controller that is cut off from workers, until relay has found its way.
   selfCut_ = allQuiet * 4 > allUp * 3;
+  // Machines that were never heard under this term may as well be dead, and then the next leader would do no
+  // better.
+  const bool cutSinceHeard = selfCut_ && allUp >= constants::kSelfCutLeast && heard * 2 > allUp;
+  if (!cutSinceHeard) selfCutSince_ = Time{};
+  if (cutSinceHeard && selfCutSince_ == Time{}) selfCutSince_ = context_.now;
 }
 
 // The services of machines that are cut off have little of their leases left. The cloud's answer to a return
@@ -508,6 +515,13 @@
   const auto probeAfter = wire::seconds(settings.reportS * constants::kProbeReports + 1);
   const auto goneFor = wire::seconds(settings.reportS * constants::kGoneReports + 1);
   const bool settled = context_.now - actingSince_ > silentFor && sure();
+  // Neither workers nor siblings get through, only the state service does: as long as this controller leads,
+  // the leases of all machines run out.
+  if (settled && selfCutSince_ != Time{} && context_.now - selfCutSince_ > constants::kSelfCutPatience &&
+      !settings.siblings.empty() && !resigned_) {
+    resigned_ = true;
+    return leadership_.stepDown("hears no workers");
+  }
   // A machine that was asked and can't be reached needs no time to find a new leader.
   const bool asked = context_.now - actingSince_ > goneFor && sure();
   for (auto& [host, machine] : machines_.all()) {
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -78,6 +78,18 @@
           {}, "POST", "/leases", Json{{"ttlMs", ttl.count()}}, 0, constants::kStateTimeout, std::move(done)});
 }
 
+void Client::endLease(Time now, std::uint64_t permit) {
+  // If it gets lost, the lease runs out by itself.
+  submit(now, Urgency::lease,
+         Queued{{},
+                "DELETE",
+                "/leases/" + std::to_string(permit),
+                {},
+                0,
+                constants::kStateTimeout,
+                [](const wire::CallResult&) {}});
+}
+
 void Client::touchLease(Time now, std::uint64_t permit, Done done) {
   submit(now, Urgency::lease,
          Queued{{},
--- a/src/state/client.hpp
+++ b/src/state/client.hpp
@@ -43,6 +43,7 @@
   void changes(Time now, Urgency urgency, const std::string& prefix, std::uint64_t after,
                std::chrono::milliseconds block, Done done);
   void newLease(Time now, std::chrono::milliseconds ttl, Done done);
+  void endLease(Time now, std::uint64_t permit);
   void touchLease(Time now, std::uint64_t permit, Done done);
 
   // Sends what the budgets now allow, and fails what has waited too long.
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -254,6 +254,8 @@
       world.cut(words.at(3), words.at(4), seconds(5), words.at(6) == "hold");
     } else if (what == "isolate") {
       world.isolate(nodeName(world, words.at(3)), seconds(4));
+    } else if (what == "unreach") {
+      world.unreach(nodeName(world, words.at(3)), seconds(4));
     } else if (what == "copies") {
       world.copyShare = seconds(3);
       world.copyLateS = seconds(4);
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -116,6 +116,8 @@
   // Every nth machine hangs for that long, or dies.
   void lose(std::size_t nth, double hangS);
 
+  struct Node;
+
   Sim sim;
   StateService state;
   Checker checker;
@@ -126,6 +128,9 @@
   double copyShare = 0;  // of reports that arrive once more
   double copyLateS = 0;  // at most this much later
   void isolate(const std::string& node, double seconds);
+  // Neither workers nor siblings reach it, nor it them; the state service, the cloud and users do.
+  void unreach(const std::string& node, double seconds);
+  bool unreached(const Node& node) const;
   std::map<std::string, JobPlan> jobs;
   std::map<std::string, int> accepted;       // ref -> status of the acceptance
   std::map<std::string, std::string> stage;  // ref -> last stage told
@@ -184,7 +189,8 @@
   std::map<std::string, std::vector<std::string>> hires_;
   std::map<std::string, double> rentedAt_;
   std::set<std::string> returned_;
-  std::map<std::string, double> isolatedUntil_;  // controllers without siblings
+  std::map<std::string, double> isolatedUntil_;   // controllers without siblings
+  std::map<std::string, double> unreachedUntil_;  // and without workers
   std::map<std::string, int> used_;
   std::size_t nextUser_ = 0;
 };
