--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -116,7 +116,8 @@
 inline constexpr double kProbeReports = 1.25;  // overdue this many reports (and 1 s): it is asked directly
 inline constexpr double kGoneReports = 2.0;    // the same (and 1 s), and it did not answer: it is given up
 inline constexpr double kQuietReports =
-    1.3;  // overdue this many reports (and 0.5 s): counts towards a cut zone
+    1.3;                                  // overdue this many reports (and 0.5 s): counts towards a cut zone
+inline constexpr double kCutShare = 0.5;  // of a zone's machines quiet: it is cut off; fewer have failed
 inline constexpr double kMoveAtLease =
     0.7;  // of the lease, silent in a cut zone: its services move if they can
 inline constexpr double kBootPatience = 3.0;  // times bootS before a machine counts as never coming
--- a/src/service/controller.cpp
+++ b/src/service/controller.cpp
@@ -92,7 +92,8 @@
       ++relay;
       continue;
     }
-    context_.later(relay->second.request);
+    // No way round through us: the worker tries the owner itself, which may be open again.
+    context_.reply(relay->second.request, 421, Json{{"foreman", relay->second.owner}});
     relay = relays_.erase(relay);
   }
   context_.state.pump(now);
@@ -195,10 +196,12 @@
                     context_.now - detour.redirectedAt < constants::kRelayMemory;
   const bool enough =
       detour.relayedSince != Time{} && context_.now - detour.relayedSince > constants::kRelayFor;
-  if (left && !enough) {
+  const auto heard = heard_.find(owner);
+  const bool linked = heard != heard_.end() && context_.now - heard->second.at < constants::kHelloFresh;
+  if (left && !enough && linked) {
     if (detour.relayedSince == Time{}) detour.relayedSince = context_.now;
     const std::uint64_t number = nextRelay_++;
-    relays_[number] = RelayOut{request, context_.now + constants::kRelayTimeout};
+    relays_[number] = RelayOut{request, owner, context_.now + constants::kRelayTimeout};
     context_.peerOut.push_back(PeerSend{owner, peer::Message{settings_.label, peer::Relay{number, body}}});
     return;
   }
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -191,7 +191,8 @@
   Time replanAt_{};
   Time nextSilenceCheck_{};
   std::set<std::string> cutYards_;  // zones that seem cut off
-  bool selfCut_ = false;            // most machines are quiet, wherever they are
+  std::map<std::string, Time> cutUntil_;
+  bool selfCut_ = false;  // most machines are quiet, wherever they are
   Time selfCutSince_{};
   std::vector<placement::Unmet> unmet_;
   std::set<std::string> recordDeletes_;
--- a/src/service/owner_workers.cpp
+++ b/src/service/owner_workers.cpp
@@ -441,9 +441,9 @@
          attempt.rank >= wire::Rank::high;
 }
 
-// Several quiet machines of one zone are more likely cut off than dead, and relay needs a while to find its
-// way: condemning them would throw away work that runs. Then only the lease decides, or, shortly before it
-// does, room for their services elsewhere.
+// Most machines of a zone quiet at once are more likely cut off than dead, and relay needs a while to find
+// its way: condemning them would throw away work that runs. Then only the lease decides, or, shortly before
+// it does, room for their services elsewhere.
 void Owner::findCuts() {
   const auto quietFor = wire::seconds(context_.settings.reportS * constants::kQuietReports + 0.5);
   std::map<std::string, int> up;
@@ -457,12 +457,17 @@
   }
   int allUp = 0;
   int allQuiet = 0;
-  cutYards_.clear();
   for (const auto& [yard, count] : up) {
     allUp += count;
     allQuiet += quiet[yard];
-    if (quiet[yard] > 1 && quiet[yard] * 4 > count) cutYards_.insert(yard);
+    // A cut silences all of a zone within a report interval. It is believed for a while, since relay brings
+    // its machines back one by one.
+    if (quiet[yard] > 1 && quiet[yard] > count * constants::kCutShare)
+      cutUntil_[yard] = context_.now + wire::seconds(context_.settings.reportS * constants::kGoneReports);
   }
+  cutYards_.clear();
+  std::erase_if(cutUntil_, [this](const auto& entry) { return entry.second <= context_.now; });
+  for (const auto& [yard, until] : cutUntil_) cutYards_.insert(yard);
   // Nearly all of them: it is this controller that is cut off from workers, until relay has found its way.
   selfCut_ = allQuiet * 4 > allUp * 3;
   // Machines that were never heard under this term may as well be dead, and then the next leader would do no
