--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -100,6 +100,7 @@
                 const std::vector<wire::Order>& orders, const wire::CallResult& result);
   void watchSilence();
   void findCuts();
+  wire::Duration quietFor() const;
   void moveServices();
   // Placed work that its users miss at once when it ends.
   static bool service(const Attempt& attempt);
--- a/src/service/owner_workers.cpp
+++ b/src/service/owner_workers.cpp
@@ -436,6 +436,10 @@
     takeEvidence(*machine, *report, Source::direct);
 }
 
+wire::Duration Owner::quietFor() const {
+  return wire::seconds(context_.settings.reportS * constants::kQuietReports + 0.5);
+}
+
 bool Owner::service(const Attempt& attempt) {
   return attempt.holdsRoom() && attempt.phase != AttemptPhase::planned && !attempt.stopWanted &&
          attempt.rank >= wire::Rank::high;
@@ -445,7 +449,6 @@
 // its way: condemning them would throw away work that runs. Then only the lease decides, or, shortly before
 // it does, room for their services elsewhere.
 void Owner::findCuts() {
-  const auto quietFor = wire::seconds(context_.settings.reportS * constants::kQuietReports + 0.5);
   std::map<std::string, int> up;
   std::map<std::string, int> quiet;
   int heard = 0;
@@ -453,7 +456,7 @@
     if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::draining) continue;
     ++up[machine.yard];
     if (machine.tally != 0) ++heard;
-    if (context_.now - machine.lastHeard > quietFor) ++quiet[machine.yard];
+    if (context_.now - machine.lastHeard > quietFor()) ++quiet[machine.yard];
   }
   int allUp = 0;
   int allQuiet = 0;
@@ -496,10 +499,9 @@
   for (const placement::Unmet& unmet : unmet_)
     if (unmet.job->spec.rank >= wire::Rank::high) room -= unmet.job->spec.each.vcpus * unmet.tasks;
   const auto moveAfter = wire::seconds(context_.settings.leaseS * constants::kMoveAtLease);
-  const auto unheardFor = wire::seconds(context_.settings.reportS * constants::kGoneReports + 1);
   for (auto& [host, machine] : machines_.all()) {
     if (machine.phase != MachinePhase::up || !machine.unreachable || !cutYards_.contains(machine.yard) ||
-        context_.now - machine.lastHeard < (machine.tally == 0 ? unheardFor : moveAfter))
+        context_.now - machine.lastHeard < (machine.tally == 0 ? quietFor() : moveAfter))
       continue;
     double cpus = 0;
     for (const Attempt& attempt : machine.attempts)
@@ -555,7 +557,7 @@
                       context_.now - machine.unechoedSince > settings.leaseOver() + constants::kDeafPatience;
     if (settled && deaf && machine.phase == MachinePhase::up) condemn(machine, "deaf");
   }
-  if (asked) moveServices();
+  if (context_.now - actingSince_ > quietFor() && sure()) moveServices();
 }
 
 // Workers that an earlier leader still answers would stay with it for as long as it believes itself entitled.
