--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -65,8 +65,10 @@
   }
   void count(const char* key, unsigned& out, unsigned least) {
     const auto value = wire::countField(map_, key);
-    if (!value || *value < least || *value > 1'000'000) return complain(key, "must be a whole number");
-    out = static_cast<unsigned>(*value);
+    if (!value || *value < least)
+      return complain(key, "must be a whole number of at least " + std::to_string(least));
+    // More than can be used is no reason to refuse.
+    out = static_cast<unsigned>(std::min<std::uint64_t>(*value, 1'000'000));
   }
   const Json& list(const char* key) {
     static const Json kEmpty = Json::array();
--- a/src/service/controller.cpp
+++ b/src/service/controller.cpp
@@ -92,8 +92,7 @@
       ++relay;
       continue;
     }
-    // No way round through us: the worker tries the owner itself, which may be open again.
-    context_.reply(relay->second.request, 421, Json{{"foreman", relay->second.owner}});
+    context_.later(relay->second.request);
     relay = relays_.erase(relay);
   }
   context_.state.pump(now);
@@ -196,12 +195,15 @@
                     context_.now - detour.redirectedAt < constants::kRelayMemory;
   const bool enough =
       detour.relayedSince != Time{} && context_.now - detour.relayedSince > constants::kRelayFor;
-  const auto heard = heard_.find(owner);
-  const bool linked = heard != heard_.end() && context_.now - heard->second.at < constants::kHelloFresh;
-  if (left && !enough && linked) {
+  if (left && !enough) {
+    // Without a link to the owner there is no way round through us either, but perhaps through the next
+    // controller. Sent back to the owner, the worker would come to us again and again.
+    const auto heard = heard_.find(owner);
+    if (heard == heard_.end() || context_.now - heard->second.at >= constants::kHelloFresh)
+      return context_.later(request);
     if (detour.relayedSince == Time{}) detour.relayedSince = context_.now;
     const std::uint64_t number = nextRelay_++;
-    relays_[number] = RelayOut{request, owner, context_.now + constants::kRelayTimeout};
+    relays_[number] = RelayOut{request, context_.now + constants::kRelayTimeout};
     context_.peerOut.push_back(PeerSend{owner, peer::Message{settings_.label, peer::Relay{number, body}}});
     return;
   }
--- a/src/service/controller.hpp
+++ b/src/service/controller.hpp
@@ -88,7 +88,6 @@
   std::map<std::string, Detour> detours_;  // by host: workers that came here though another owns them
   struct RelayOut {
     std::uint64_t request = 0;
-    std::string owner;
     Time deadline{};
   };
   std::map<std::uint64_t, RelayOut> relays_;
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -39,6 +39,27 @@
   EXPECT_GT(settings.leaseOver().count(), settings.leaseS * 1000 + 1000);
 }
 
+TEST(Platform, SocketsAreSharedOut) {
+  for (const unsigned sockets : {240U, 1000U, 2873U, 60000U}) {
+    Json file = good();
+    file["facts"]["limits"]["max_connections"] = sockets;
+    Settings settings;
+    ASSERT_FALSE(parsePlatform(file.dump(), settings)) << sockets;
+    // Workers report on one connection each: most are theirs. Ours for the state service are never theirs.
+    EXPECT_GE(settings.serverSockets(), sockets / 2);
+    EXPECT_LT(settings.serverSockets() + settings.ownCallSockets(), sockets);
+    EXPECT_LT(settings.workerCallsMost(), settings.ownCallSockets());
+  }
+}
+
+TEST(Platform, MoreThanCanBeUsedIsTaken) {
+  Json file = good();
+  file["facts"]["limits"]["max_connections"] = 4'000'000'000;
+  Settings settings;
+  EXPECT_FALSE(parsePlatform(file.dump(), settings));
+  EXPECT_GE(settings.serverSockets(), 500'000U);
+}
+
 TEST(Platform, ProblemsNameTheField) {
   const std::vector<std::tuple<const char*, Json, const char*>> wrong = {
       {"/label", 3, "label"},
--- a/tests/unit/state_test.cpp
+++ b/tests/unit/state_test.cpp
@@ -103,4 +103,34 @@
   EXPECT_TRUE(late);
 }
 
+// An answer over the limit failed, and the next read asked for the same again, for ever.
+TEST(Feed, ListsItsKeysWhenTheChangesAreTooMany) {
+  Rig rig;
+  int entries = 0;
+  state::Feed feed(rig.client, "jobs/", state::Urgency::place, wire::Duration{},
+                   {[&](const auto&, const Json*, std::uint64_t) { ++entries; }, nullptr, nullptr});
+  const Json page{{"pairs", Json::array({Json{{"key", "jobs/a"}, {"value", Json::object()}, {"stamp", 2}}})},
+                  {"more", false},
+                  {"ledger", 5}};
+  feed.start(at(0));
+  auto calls = rig.calls.drain();
+  ASSERT_EQ(calls.size(), 1U);
+  rig.calls.complete(calls[0].number, wire::CallResult{200, true, page});
+  EXPECT_EQ(entries, 1);
+  rig.client.pump(at(1));
+  calls = rig.calls.drain();
+  ASSERT_EQ(calls.size(), 1U);
+  ASSERT_TRUE(calls[0].path.starts_with("/changes"));
+  wire::CallResult large;
+  large.sent = large.tooLarge = true;
+  rig.calls.complete(calls[0].number, large);
+  rig.client.pump(at(2));
+  calls = rig.calls.drain();
+  ASSERT_EQ(calls.size(), 1U);
+  EXPECT_TRUE(calls[0].path.starts_with("/keys?under=jobs/"));
+  rig.calls.complete(calls[0].number, wire::CallResult{200, true, page});
+  EXPECT_EQ(entries, 2);
+  EXPECT_TRUE(feed.ready());
+}
+
 }  // namespace
