--- a/src/service/owner_workers.cpp
+++ b/src/service/owner_workers.cpp
@@ -499,9 +499,10 @@
   for (const placement::Unmet& unmet : unmet_)
     if (unmet.job->spec.rank >= wire::Rank::high) room -= unmet.job->spec.each.vcpus * unmet.tasks;
   const auto moveAfter = wire::seconds(context_.settings.leaseS * constants::kMoveAtLease);
+  const auto unheardFor = wire::seconds(context_.settings.reportS * constants::kGoneReports + 1);
   for (auto& [host, machine] : machines_.all()) {
     if (machine.phase != MachinePhase::up || !machine.unreachable || !cutYards_.contains(machine.yard) ||
-        context_.now - machine.lastHeard < (machine.tally == 0 ? quietFor() : moveAfter))
+        context_.now - machine.lastHeard < (machine.tally == 0 ? unheardFor : moveAfter))
       continue;
     double cpus = 0;
     for (const Attempt& attempt : machine.attempts)
@@ -529,8 +530,6 @@
     resigned_ = true;
     return leadership_.stepDown("hears no workers");
   }
-  // A machine that was asked and can't be reached needs no time to find a new leader.
-  const bool asked = context_.now - actingSince_ > goneFor && sure();
   for (auto& [host, machine] : machines_.all()) {
     if (machine.phase == MachinePhase::gone) continue;
     judge(machine);
@@ -551,13 +550,13 @@
       machine.probing = true;
       inspect(machine);
     }
-    if (asked && machine.unreachable && silent > goneFor && !cut) condemn(machine, "unreachable");
+    if (settled && machine.unreachable && silent > goneFor && !cut) condemn(machine, "unreachable");
     // It reports, but nothing that we send arrives: its lease has run out, and it is of no use to anybody.
     const bool deaf = !machine.echoed && machine.unechoedSince != Time{} &&
                       context_.now - machine.unechoedSince > settings.leaseOver() + constants::kDeafPatience;
     if (settled && deaf && machine.phase == MachinePhase::up) condemn(machine, "deaf");
   }
-  if (context_.now - actingSince_ > quietFor() && sure()) moveServices();
+  if (context_.now - actingSince_ > goneFor && sure()) moveServices();
 }
 
 // Workers that an earlier leader still answers would stay with it for as long as it believes itself entitled.
