--- a/src/machines/machines.hpp
+++ b/src/machines/machines.hpp
@@ -39,6 +39,7 @@
   std::optional<std::uint64_t> openBaton;  // of a direct launch that got no answer
   std::optional<std::uint32_t> paged;      // the page that holds it; none: a stray one
   std::uint64_t answeredAt = 0;            // tally of the report whose answer first carried the launch
+  std::uint64_t shift = 0;                 // the worker's session it belongs to; 0: not known yet
   Time since{};                            // of the phase
   Time placedAt{};
   Time runningSince{};
@@ -81,7 +82,7 @@
   const char* returnReason = "";
   Time rentedAt{};
   Time upSince{};
-  Time lastHeard{};
+  Time lastHeard{};     // by report: that it can be asked doesn't keep its lease
   Time lastAnswered{};  // no answer that renews its lease was given after this
   Time idleSince{};
   Time nextDirect{};
--- a/src/service/owner_workers.cpp
+++ b/src/service/owner_workers.cpp
@@ -13,7 +13,13 @@
 }  // namespace
 
 Owner::ReportAnswer Owner::onReport(const wire::Report& report) {
-  if (state_ != State::acting || resigned_ || !mayAnswer()) return {};
+  if (state_ != State::acting || resigned_) return {};
+  if (!mayAnswer()) {
+    // It is there all the same: after a long outage machines that kept reporting are not given up for silent.
+    Machine* known = machines_.find(report.host.text);
+    if (known != nullptr && newer(*known, report)) known->lastHeard = context_.now;
+    return {};
+  }
   // A worker that has seen a later term drops our answers, and a 200 would only hold it here until its lease
   // has run out.
   if (report.baton >= cluster::baton(term_ + 1, 0)) return {};
@@ -56,7 +62,6 @@
   machine.tally = report.tally;
   machine.workerBaton = std::max(machine.workerBaton, report.baton);
   noteEcho(machine);
-  machine.lastHeard = context_.now;
   for (Attempt& attempt : machine.attempts) {
     // Once the worker has seen a higher baton, the old command can only get a 409.
     if (attempt.openBaton && machine.workerBaton > *attempt.openBaton) attempt.openBaton.reset();
@@ -97,9 +102,19 @@
   if (machine.shift != 0 && !machine.attempts.empty())
     context_.event(Level::info, "lease_lost",
                    {{"machine", machine.host.text}, {"attempts", machine.attempts.size()}});
-  // The worker has killed and forgotten everything of the session before.
-  if (machine.shift != 0) releaseAll(machine, "lease lost");
+  // The worker has killed and forgotten everything of the sessions before. What an earlier owner placed and
+  // nobody has seen under this one may belong to the new session: the one known so far may be that of a late
+  // copy. Absence decides about it, as always under a new term.
+  for (Attempt& attempt : machine.attempts) {
+    const bool unseen = attempt.inherited && attempt.shift == 0;
+    if (machine.shift != 0 && attempt.phase != AttemptPhase::planned && !unseen)
+      release(machine, attempt, "lease lost");
+  }
+  dropFree(machine);
   machine.shift = report.shift;
+  // The new session's lease counts from its beginning, whether or not any of its reports was answered. What
+  // is launched in it by direct commands goes on for that long.
+  machine.lastAnswered = std::max(machine.lastAnswered, context_.now);
   machine.crates = {};
 }
 
@@ -118,6 +133,7 @@
 }
 
 void Owner::takeLoad(Machine& machine, Attempt& attempt, const wire::LoadState& load) {
+  attempt.shift = machine.shift;
   switch (load.stage) {
     case wire::LoadStage::pulling:
     case wire::LoadStage::waiting:
@@ -336,7 +352,8 @@
         if (attempt.stopWanted) {
           order.verb = wire::Verb::halt;
           rest.push_back(order);
-        } else if (attempt.directs == 0) {
+        } else if (attempt.directs == 0 && sure()) {
+          // Nothing is begun on old news: another controller may have confirmed the job's cancellation since.
           if (via == Source::report && attempt.answeredAt == 0) attempt.answeredAt = tally;
           rest.push_back(order);
         }
@@ -591,10 +608,7 @@
     if (result.status == 0) known->unreachable = true;
     auto report = wire::decodeReport(result.body);
     if (!result.ok() || !report || report->host.text != host) return;
-    // That it can be asked does not make up for reports: without answers to those its lease runs out.
-    const Time heard = known->lastHeard;
     takeEvidence(*known, *report, Source::direct);
-    known->lastHeard = heard;
     known->unreachable = false;
     // An empty command brings the token.
     if (!known->echoed) ordersDue(*known);
--- a/src/state/feed.cpp
+++ b/src/state/feed.cpp
@@ -30,12 +30,11 @@
 
 void Feed::list() {
   calling_ = true;
-  const Time sent = now_;
+  if (firstPage_) listedFrom_ = now_;
   client_.list(now_, urgency_, prefix_, after_,
-               [this, sent, alive = std::weak_ptr<int>(alive_)](const wire::CallResult& result) {
+               [this, alive = std::weak_ptr<int>(alive_)](const wire::CallResult& result) {
                  if (!alive.lock()) return;
                  calling_ = false;
-                 if (firstPage_ && result.ok()) confirmedAt_ = std::max(confirmedAt_, sent);
                  onPage(result);
                });
 }
@@ -62,6 +61,8 @@
   }
   if (wire::flagField(result.body, "more").value_or(false) && !pairs->empty()) return list();
   everListed_ = true;
+  // Only now: what is on the later pages was not known before.
+  confirmedAt_ = std::max(confirmedAt_, listedFrom_);
   to(State::following);
   if (handlers_.caughtUp) handlers_.caughtUp();
   if (!watching_) watch();
@@ -131,7 +132,9 @@
                     if (!alive.lock()) return;
                     confirming_ = false;
                     if (mustList(result)) start(now_);
-                    const bool ok = result.ok() && take(result.body);
+                    // A listing begun meanwhile starts from a later revision: what this answer brings would
+                    // be passed over, and its keys may stand on a page that has not been read.
+                    const bool ok = state_ == State::following && result.ok() && take(result.body);
                     failing_ = !ok && !result.tooLarge && (result.status == 0 || result.status == 503);
                     if (failing_) failWaiting();
                     if (ok) confirmedAt_ = std::max(confirmedAt_, sent);
--- a/src/state/feed.hpp
+++ b/src/state/feed.hpp
@@ -58,6 +58,7 @@
   bool calling_ = false;  // a listing call is out
   Time now_{};
   Time retryAt_{};
+  Time listedFrom_{};  // the present listing was begun then
   Time confirmedAt_{};
   Time nextConfirm_{};
   Time triedAt_{};
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -83,6 +83,7 @@
     settings_.initialSize = 3;
     for (RigSpec& rig : rigs_) rig.type.yards = settings_.zones;
     World world(settings_, rigs_, limits_, seed_);
+    world.drift = drift_;
     if (std::getenv("SCENARIO_LOG") != nullptr)
       world.log = [](const std::string& line) { std::cout << line << "\n"; };
     world.start();
@@ -111,6 +112,8 @@
       settings_.maxConnections = static_cast<unsigned>(std::stoul(words.at(1)));
     } else if (what == "large") {
       large_ = true;
+    } else if (what == "drift") {
+      drift_ = std::stod(words.at(1));
     } else if (what == "seed") {
       seed_ = std::stoull(words.at(1));
     } else if (what == "end") {
@@ -167,6 +170,7 @@
     spec.crate = options.text("crate", "img-0");
     spec.sizeGb = options.number("size", 1);
     plan.runS = options.number("run", 10);
+    plan.laterS = options.number("later", 0);
     spec.expectS = spec.shape == reachhoist::wire::Shape::sweep ? plan.runS : 0;
     spec.stowEveryS = options.number("saves", 0);
     spec.stowS = spec.stowEveryS > 0 ? 2 : 0;
@@ -267,6 +271,19 @@
       world.cloudDownUntil = world.sim.now() + seconds(3);
     } else if (what == "lose-answers") {
       world.stateLossShare = seconds(3);
+      world.stateLateS = options.number("late", 4);
+    } else if (what == "state-slow") {
+      world.stateSlowS = seconds(3);
+    } else if (what == "mute") {
+      world.mute(static_cast<std::size_t>(seconds(3)), seconds(4));
+    } else if (what == "freeze") {
+      world.freeze(nodeName(world, words.at(3)), seconds(4));
+    } else if (what == "keep-report") {
+      world.keepReport(words.at(3), seconds(4));
+    } else if (what == "cancel-at-end") {
+      world.cancelAtEndShare = seconds(3);
+    } else if (what == "odd-requests") {
+      world.oddRequests();
     } else if (what == "boots-never") {
       world.bootsNever = words.at(3) == "on";
     } else if (what == "lose") {
@@ -313,6 +330,16 @@
       double done = 0;
       for (const auto& [ref, stage] : world.stage) done += stage == "done" ? 1 : 0;
       compare(done, 3);
+    } else if (what == "late-starts") {
+      compare(static_cast<double>(world.checker.startsAfterCancel()), 3);
+    } else if (what == "refused") {
+      double refused = 0;
+      for (const auto& [ref, status] : world.refusals) refused += status == 400 || status == 422 ? 1 : 0;
+      compare(refused, 3);
+    } else if (what == "odd") {
+      compare(static_cast<double>(world.refusals.size()), 3);
+    } else if (what == "ended-and-cancelled") {
+      compare(static_cast<double>(world.cancelledAtEnd.size()), 3);
     } else if (what == "changes") {
       compare(static_cast<double>(world.state.changes()), 3);
     } else if (what == "requests") {
@@ -343,6 +370,7 @@
   std::size_t controllers_ = 3;
   double end_ = 120;
   bool large_ = false;
+  double drift_ = 0;
 };
 
 class Scenarios : public testing::TestWithParam<fs::path> {};
--- a/tests/standin/checker.cpp
+++ b/tests/standin/checker.cpp
@@ -9,6 +9,7 @@
 constexpr double kForgottenS = 90;   // every poll for a job failing this long counts as forgotten
 constexpr double kUnansweredS = 75;  // the same after all troubles, however others fare
 constexpr double kLargestBeginS = 240;
+constexpr double kLeftWaitingS = 90;  // after all troubles, with room that fits and the team below its limit
 constexpr double kServedShare = 0.5;
 }  // namespace
 
@@ -41,6 +42,29 @@
   if (isFinal) finalTold_.emplace(ref, stage);
 }
 
+void Checker::unfitAnswered(double at, const std::string& ref, int status) {
+  if (unfit_.contains(ref) && (status == 200 || status == 201)) breaks(at, "accepted_unfit", ref);
+}
+
+void Checker::couldRun(double at, const std::string& ref, bool could) {
+  if (calmAt_ < 0 || !could) {
+    couldRunSince_.erase(ref);
+    return;
+  }
+  double& since = couldRunSince_.emplace(ref, at).first->second;
+  if (at - since <= kLeftWaitingS) return;
+  breaks(at, "left_waiting", ref);
+  since = at;
+}
+
+std::map<std::string, std::uint32_t> Checker::zonesOf(const std::string& ref) const {
+  std::map<std::string, std::uint32_t> out;
+  for (const auto& [task, places] : on_)
+    for (const auto& [host, place] : places)
+      if (task.job.text == ref) ++out[place.yard];
+  return out;
+}
+
 void Checker::submitAnswered(double at, const std::string& ref, int status, const std::string& stage) {
   if (status == 200 || status == 201) {
     accepted_.insert(ref);
@@ -72,6 +96,7 @@
 
 void Checker::started(double at, const wire::TaskId& task, const Place& place) {
   ++starts_;
+  if (cancelledAt_.contains(task.job.text)) ++startsAfterCancel_;
   firstStart_.emplace(task.job.text, at);
   const auto found = jobs_.find(task.job.text);
   if (found == jobs_.end()) return breaks(at, "invented", "started " + task.str());
--- a/tests/standin/checker.hpp
+++ b/tests/standin/checker.hpp
@@ -27,6 +27,11 @@
   // What users did and were told.
   void submitted(double at, const wire::JobSpec& spec);
   void submitAnswered(double at, const std::string& ref, int status, const std::string& stage);
+  // A submission that must be refused: it can't run, or lacks a field.
+  void unfit(const std::string& ref) { unfit_.insert(ref); }
+  void unfitAnswered(double at, const std::string& ref, int status);
+  // Whether a job has tasks that wait although a machine has room for them and the team is below its limit.
+  void couldRun(double at, const std::string& ref, bool could);
   void abortAsked(const std::string& ref) { abortAsked_.insert(ref); }
   void abortAnswered(double at, const std::string& ref, int status, const std::string& stage);
   void pollAnswered(double at, const std::string& ref, int status, const std::string& stage);
@@ -43,6 +48,12 @@
   const std::vector<std::string>& broken() const { return broken_; }
   bool isCompleted(const wire::TaskId& task) const { return completed_.contains(task); }
   std::size_t starts() const { return starts_; }
+  // Tasks started after a user was told that their job is cancelled.
+  std::size_t startsAfterCancel() const { return startsAfterCancel_; }
+  std::map<std::string, std::uint32_t> zonesOf(const std::string& ref) const;
+  bool isCancelled(const std::string& ref) const { return cancelledAt_.contains(ref); }
+  const std::map<std::string, double>& limits() const { return limits_; }
+  bool isCalm() const { return calmAt_ >= 0; }
   std::size_t onMachines(const std::string& ref) const;
 
  private:
@@ -66,6 +77,9 @@
   std::set<wire::TaskId> completed_;
   std::set<std::string> ranCancelled_;
   std::size_t starts_ = 0;
+  std::size_t startsAfterCancel_ = 0;
+  std::set<std::string> unfit_;
+  std::map<std::string, double> couldRunSince_;
   std::vector<std::string> broken_;
 };
 
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 
+#include "placement/planner.hpp"
 #include "service/controller.hpp"
 #include "standin/checker.hpp"
 #include "standin/sim.hpp"
@@ -27,6 +28,7 @@
 struct JobPlan {
   wire::JobSpec spec;
   double runS = 10;    // true run time of a task
+  double laterS = 0;   // each further task runs so much longer than the one before
   bool wrong = false;  // fails on every machine
 };
 
@@ -47,12 +49,17 @@
   const std::string& yard() const { return yard_; }
   const std::string& rig() const { return rig_; }
   bool loaners() const { return loaners_; }
+  // What its loads leave, and what those of a team take.
+  wire::Resources room() const;
+  double cpusOf(const std::string& crew) const;
+  bool has(const wire::TaskId& task) const;
   bool up() const { return up_; }
   bool alive() const { return alive_; }
   bool hung() const;
   double hungUntil() const { return hungUntil_; }
   bool sick = false;
   double deafUntil = 0;  // its reports arrive, answers and commands don't reach it
+  double muteUntil = 0;  // it can't open connections, while commands reach it
 
  private:
   struct Load {
@@ -115,6 +122,14 @@
   Worker* workerRunning(const std::string& ref);
   // Every nth machine hangs for that long, or dies.
   void lose(std::size_t nth, double hangS);
+  // Every nth machine reaches no controller, while commands reach it.
+  void mute(std::size_t nth, double seconds);
+  // The process stands still, and goes on where it was.
+  void freeze(const std::string& node, double seconds);
+  // The next report of the machine that runs the job arrives once more, at whoever leads by then.
+  void keepReport(const std::string& ref, double laterS);
+  // Users repeat submissions, call off jobs that are done, and send jobs that can't run or lack a field.
+  void oddRequests();
 
   struct Node;
 
@@ -123,7 +138,15 @@
   Checker checker;
   config::Settings base;
   double cloudDownUntil = 0;
-  double stateLossShare = 0;  // of transactions whose answer is lost
+  double stateLossShare = 0;    // of transactions whose answer is lost
+  double stateLateS = 4;        // and that are carried out at most this much later
+  double stateSlowS = 0;        // more than usual for each request to the state service
+  double drift = 0;             // by this share the clocks of controllers and workers run slow
+  double cancelAtEndShare = 0;  // of jobs that are called off at the very end of their last task
+  std::set<std::string> cancelledAtEnd;
+  std::map<std::string, int> refusals;  // ref of an odd submission -> its answer
+  std::size_t abortsAsked = 0;
+  std::size_t unanswered = 0;  // polls
   bool bootsNever = false;
   double copyShare = 0;  // of reports that arrive once more
   double copyLateS = 0;  // at most this much later
@@ -151,9 +174,18 @@
     std::map<std::uint64_t, std::function<void(const service::Reply&)>> waiting;
     std::uint64_t nextRequest = 1;
     std::size_t workerCalls = 0;
+    double frozenUntil = 0;
   };
+  // Once the controller is not frozen any more, if it is the same life.
+  void whenAwake(Node& node, std::uint64_t life, std::function<void()> action);
   std::vector<std::unique_ptr<Node>> nodes;
 
+  // --- the clocks of controllers and workers
+  reachhoist::wire::Time clock() const;
+  double workerS(double trueS) const { return trueS * (1 - drift); }
+  // A task has just completed.
+  void taskCompleted(const wire::TaskId& task);
+
   // --- the network, for workers and users
   void toNode(Node& node, const std::string& method, const std::string& target, const std::string& body,
               std::function<void(int status, const Json& body)> answer);
@@ -179,6 +211,9 @@
   void callCloud(const wire::Call& call, const std::function<void(wire::CallResult)>& done);
   Json cloudList() const;
   bool isolated(const Node& node) const;
+  void watchWaiting();
+  void deliverKept(const std::string& body);
+  bool roomFor(const wire::JobSpec& spec) const;
   void retrySubmit(const std::string& ref, double until);
   void retryAbort(const std::string& ref);
   void pollAll();
@@ -193,6 +228,12 @@
   std::map<std::string, double> unreachedUntil_;  // and without workers
   std::map<std::string, int> used_;
   std::size_t nextUser_ = 0;
+  std::map<std::string, std::pair<std::string, double>>
+      kept_;  // host -> its next report, once more, so much later
+  std::size_t odd_ = 0;
+
+ public:
+  void sentReport(const std::string& host, const std::string& body);
 };
 
 }  // namespace standin
--- a/tests/unit/checker_test.cpp
+++ b/tests/unit/checker_test.cpp
@@ -164,4 +164,53 @@
   EXPECT_EQ(checker.unserved(), std::vector<std::string>{"largest of arrays served too little"});
 }
 
+TEST_F(Rules, StartsAfterAConfirmedCancellationAreCounted) {
+  checker.started(2, task("job-1", 0), place("vm-1"));
+  checker.abortAsked("job-1");
+  checker.abortAnswered(3, "job-1", 200, "cancelled");
+  EXPECT_EQ(checker.startsAfterCancel(), 0U);
+  checker.started(4, task("job-1", 1), place("vm-1"));
+  EXPECT_EQ(checker.startsAfterCancel(), 1U);
+}
+
+TEST_F(Rules, ACancelledTaskThatGoesOnAfterAHang) {
+  checker.started(2, task("job-1", 0), place("vm-1"));
+  checker.abortAsked("job-1");
+  checker.abortAnswered(10, "job-1", 200, "cancelled");
+  // The machine hangs and goes on: nothing is heard of the task, and it is still there.
+  checker.tick(51);
+  EXPECT_TRUE(checker.broken().empty());
+  checker.tick(53);
+  expectBroken("ran_cancelled");
+}
+
+TEST_F(Rules, AnUnfitSubmissionIsAccepted) {
+  checker.unfit("job-9");
+  checker.unfitAnswered(2, "job-9", 422);
+  checker.unfitAnswered(3, "job-9", 503);
+  EXPECT_TRUE(checker.broken().empty());
+  checker.unfitAnswered(4, "job-9", 201);
+  expectBroken("accepted_unfit");
+}
+
+TEST_F(Rules, NoAnswerAboutAJobAfterAllTroubles) {
+  checker.calm(10);
+  checker.tick(84);
+  EXPECT_TRUE(checker.broken().empty());
+  checker.tick(86);
+  expectBroken("forgotten");
+}
+
+TEST_F(Rules, LeftWaitingThoughThereIsRoom) {
+  checker.couldRun(5, "job-1", true);  // before all troubles are over nothing counts
+  checker.calm(10);
+  checker.couldRun(10, "job-1", true);
+  checker.couldRun(60, "job-1", false);
+  checker.couldRun(61, "job-1", true);
+  checker.couldRun(150, "job-1", true);
+  EXPECT_TRUE(checker.broken().empty());
+  checker.couldRun(152, "job-1", true);
+  expectBroken("left_waiting");
+}
+
 }  // namespace
--- a/tests/unit/state_test.cpp
+++ b/tests/unit/state_test.cpp
@@ -133,4 +133,53 @@
   EXPECT_TRUE(feed.ready());
 }
 
+Json page(const std::string& key, bool more) {
+  return Json{{"pairs", Json::array({Json{{"key", key}, {"value", Json::object()}, {"stamp", 2}}})},
+              {"more", more},
+              {"ledger", 5}};
+}
+
+// Leases were renewed on the strength of a listing's first page while cancellations stood on a later one.
+TEST(Feed, AListingConfirmsOnlyOnceItIsWhole) {
+  Rig rig;
+  state::Feed feed(rig.client, "jobs/", state::Urgency::place, wire::Duration{},
+                   {[](const auto&, const Json*, std::uint64_t) {}, nullptr, nullptr});
+  feed.start(at(3));
+  auto calls = rig.calls.drain();
+  ASSERT_EQ(calls.size(), 1U);
+  feed.tick(at(4));
+  rig.calls.complete(calls[0].number, wire::CallResult{200, true, page("jobs/a", true)});
+  EXPECT_EQ(feed.confirmedAt(), wire::Time{});
+  rig.client.pump(at(5));
+  calls = rig.calls.drain();
+  ASSERT_EQ(calls.size(), 1U);
+  rig.calls.complete(calls[0].number, wire::CallResult{200, true, page("jobs/b", false)});
+  // What happened after the first page was asked for need not be in it.
+  EXPECT_EQ(feed.confirmedAt(), at(3));
+}
+
+// A read that was under way when a new listing began is older than what the listing starts from: its changes
+// are passed over, so it must not count as having brought them in.
+TEST(Feed, AReadFromBeforeANewListingConfirmsNothing) {
+  Rig rig;
+  state::Feed feed(rig.client, "jobs/", state::Urgency::place, wire::Duration{},
+                   {[](const auto&, const Json*, std::uint64_t) {}, nullptr, nullptr});
+  feed.start(at(0));
+  rig.calls.complete(rig.calls.drain()[0].number, wire::CallResult{200, true, page("jobs/a", false)});
+  rig.client.pump(at(1));
+  auto watch = rig.calls.drain();
+  ASSERT_EQ(watch.size(), 1U);
+  std::optional<bool> told;
+  feed.confirm(at(1), [&](bool ok) { told = ok; });
+  auto confirm = rig.calls.drain();
+  ASSERT_EQ(confirm.size(), 1U);
+  rig.calls.complete(watch[0].number, wire::CallResult{410, true, Json::object()});
+  rig.client.pump(at(2));
+  rig.calls.complete(confirm[0].number,
+                     wire::CallResult{200, true, Json{{"ledger", 4}, {"news", Json::array()}}});
+  ASSERT_TRUE(told);
+  EXPECT_FALSE(*told);
+  EXPECT_EQ(feed.confirmedAt(), at(0));
+}
+
 }  // namespace
