--- a/src/cluster/leadership.cpp
+++ b/src/cluster/leadership.cpp
@@ -5,7 +5,6 @@
 namespace {
 constexpr const char* kPrefix = "leader";
 constexpr const char* kLeaderKey = "leader";
-constexpr const char* kTermKey = "leader-term";
 }  // namespace
 
 Leadership::Leadership(state::Client& client, const config::Settings& settings, std::uint64_t seed,
@@ -21,7 +20,7 @@
              },
              [this] { onCaughtUp(); }}),
       random_(seed),
-      parts_(std::min(settings.initialSize, settings.stateTxnOps - 2)) {}
+      parts_(std::max(settings.partsAtFirst, 1U)) {}
 
 void Leadership::start(Time now) {
   now_ = now;
@@ -42,7 +41,16 @@
       lease();
     }
   }
-  if (state_ == State::leading && !renewing_ && now >= nextRenew_) renew();
+  if (state_ == State::taking && !takingCall_ && now >= retryTaking_) takeParts();
+  if ((state_ == State::leading || state_ == State::taking) && !renewing_ && now >= nextRenew_) renew();
+}
+
+std::optional<std::pair<state::Condition, state::Write>> Leadership::raiseLayout() const {
+  if (layoutRaised() || termStamp_ == 0 || term_ == 0) return std::nullopt;
+  return std::pair{
+      state::Condition{kTermKey, termStamp_},
+      state::Write{kTermKey, Json{{"term", term_}, {"parts", parts_}, {"layout", constants::kLayoutGangs}},
+                   std::nullopt}};
 }
 
 void Leadership::onEntry(const std::string& key, const Json* value, std::uint64_t stamp) {
@@ -52,7 +60,7 @@
   } else if (key == kTermKey && value != nullptr) {
     termStamp_ = stamp;
     const auto term = wire::countField(*value, "term").value_or(0);
-    if (state_ != State::leading) term_ = std::max(term_, term);
+    if (state_ != State::leading && state_ != State::taking) term_ = std::max(term_, term);
     if (const auto parts = wire::countField(*value, "parts"); parts && *parts > 0)
       parts_ = static_cast<unsigned>(*parts);
     checkLayout(wire::countField(*value, "layout").value_or(1));
@@ -60,12 +68,14 @@
 }
 
 void Leadership::checkLayout(std::uint64_t layout) {
-  if (layout == constants::kLayout) {
+  if (layout == constants::kLayout || layout == constants::kLayoutGangs) {
+    layout_ = std::max(layout_, layout);
     if (state_ == State::refusing) to(State::observing);
     return;
   }
   // Records of an earlier layout would be misread, and a task that they place be started twice.
   if (state_ == State::refusing) return;
+  if (state_ == State::taking) abandonTaking();
   resign("another layout");
   to(State::refusing);
   handlers_.refused(layout);
@@ -78,6 +88,10 @@
     if (leaderStamp_ > ownStamp_ && leader_ != settings_.label) depose("another controller leads");
     return;
   }
+  if (state_ == State::taking && leaderStamp_ > ownStamp_ && leader_ != settings_.label) {
+    permit_ = 0;
+    return abandonTaking();
+  }
   if (state_ == State::observing && (leader_.empty() || leader_ == settings_.label)) {
     // Our own name there is an earlier life's, which has ended: no need to wait for its lease.
     pause();
@@ -121,15 +135,16 @@
   transaction.conditions = {{kLeaderKey, leaderStamp_}, {kTermKey, termStamp_}};
   transaction.writes.push_back({kLeaderKey, Json{{"label", settings_.label}, {"term", term}}, permit_});
   transaction.writes.push_back(
-      {kTermKey, Json{{"term", term}, {"parts", parts_}, {"layout", constants::kLayout}}, std::nullopt});
-  for (Part part = 0; part < parts_; ++part)
+      {kTermKey, Json{{"term", term}, {"parts", parts_}, {"layout", layout_}}, std::nullopt});
+  const bool atOnce = parts_ + 2 <= settings_.stateTxnOps;
+  for (Part part = 0; atOnce && part < parts_; ++part)
     transaction.writes.push_back(
         {partKey(part), Json{{"owner", settings_.label}, {"term", term}}, std::nullopt});
-  client_.multi(now_, state::Urgency::lease, transaction, [this, term, sent](const wire::CallResult& result) {
+  client_.multi(now_, state::Urgency::lease, transaction, [this, term, sent, atOnce](const auto& result) {
     if (state_ != State::campaigning) return;
     if (!result.ok()) {
       // The lease may have run out during the wait. Without an answer the feed tells who leads.
-      if (result.status == 400) permit_ = 0;
+      if (result.status == 400) permit_ = 0;  // it holds only what every limit allows, so it is the lease
       nextTry_ = now_ + constants::kElectionRetry;
       to(State::waiting);
       return;
@@ -141,20 +156,62 @@
     termStamp_ = ownStamp_;
     confirmedAt_ = sent;
     nextRenew_ = now_ + constants::kLeaderRenew;
-    to(State::leading);
     client_.setLeading(true);
-    handlers_.elected(term, ownStamp_);
+    partStamps_.assign(atOnce ? parts_ : 0, ownStamp_);
+    to(State::taking);
+    takeParts();
   });
 }
 
+// A deposed owner's writes depend on all parts, so that one taken part already stops it; and each transaction
+// depends on the term's record, so that a late one of an earlier term changes nothing.
+void Leadership::takeParts() {
+  if (partStamps_.size() >= parts_) {
+    to(State::leading);
+    handlers_.elected(term_, partStamps_);
+    return;
+  }
+  takingCall_ = true;
+  const auto from = static_cast<Part>(partStamps_.size());
+  const Part end = std::min<Part>(parts_, from + settings_.stateTxnOps);
+  state::Transaction transaction;
+  transaction.conditions = {{kTermKey, ownStamp_}};
+  for (Part part = from; part < end; ++part)
+    transaction.writes.push_back(
+        {partKey(part), Json{{"owner", settings_.label}, {"term", term_}}, std::nullopt});
+  client_.multi(now_, state::Urgency::lease, transaction,
+                [this, end, term = term_](const wire::CallResult& result) {
+                  takingCall_ = false;
+                  if (state_ != State::taking || term != term_) return;
+                  if (result.ok()) {
+                    partStamps_.resize(end, wire::countField(result.body, "ledger").value_or(0));
+                    return takeParts();
+                  }
+                  retryTaking_ = now_ + constants::kStateBackoff;
+                  // Carried out late it would move the stamps that our own writes depend on: only the next
+                  // term, whose record it can't pass, is safe from that.
+                  if (result.status != 429 && result.status != 503) abandonTaking();
+                });
+}
+
+void Leadership::abandonTaking() {
+  client_.setLeading(false);
+  nextTry_ = now_ + constants::kElectionRetry;
+  to(State::waiting);
+}
+
 void Leadership::renew() {
   renewing_ = true;
   const Time sent = now_;
   client_.touchLease(now_, permit_, [this, sent, permit = permit_](const wire::CallResult& result) {
     renewing_ = false;
-    if (state_ != State::leading || permit != permit_) return;
+    if ((state_ != State::leading && state_ != State::taking) || permit != permit_) return;
     nextRenew_ = (result.ok() ? sent + constants::kLeaderRenew : now_ + constants::kStateBackoff);
     if (result.ok()) confirmedAt_ = std::max(confirmedAt_, sent);
+    if (result.status == 404 && state_ == State::taking) {
+      permit_ = 0;
+      return abandonTaking();
+    }
     if (result.status == 404) depose("the lease ran out");
   });
 }
--- a/src/cluster/leadership.hpp
+++ b/src/cluster/leadership.hpp
@@ -12,14 +12,17 @@
 using wire::Json;
 using wire::Time;
 
+inline constexpr const char* kTermKey = "leader-term";
+
 class Leadership {
  public:
   // observing: somebody else leads, or nobody is known to. waiting: vacant, after a random pause.
-  // leasing, campaigning: trying to take it. leading: ours until the lease is lost. refusing: the records are
-  // of another layout, so this program must not lead.
-  enum class State { observing, waiting, leasing, campaigning, leading, refusing };
+  // leasing, campaigning: trying to take it. taking: the lead is ours, and the parts are being taken in
+  // further transactions, because they don't fit into the one that took it. leading: ours until the lease is
+  // lost. refusing: the records are of another layout, so this program must not lead.
+  enum class State { observing, waiting, leasing, campaigning, taking, leading, refusing };
   struct Handlers {
-    std::function<void(std::uint64_t term, std::uint64_t partsStamp)> elected;
+    std::function<void(std::uint64_t term, const std::vector<std::uint64_t>& partStamps)> elected;
     std::function<void(const char* why)> deposed;
     std::function<void(std::uint64_t layout)>
         refused;  // the records are of a layout that this program can't read
@@ -39,6 +42,10 @@
   unsigned parts() const { return parts_; }
   // The leader by the last word of the state service; empty when vacant.
   const std::string& leader() const { return leader_; }
+  // What the first record of a kind that earlier versions can't read must be written with: it raises the
+  // layout, so that none of them leads from then on. Nothing when that is done or the term is not known.
+  bool layoutRaised() const { return layout_ >= constants::kLayoutGangs; }
+  std::optional<std::pair<state::Condition, state::Write>> raiseLayout() const;
   // Ownership is proven up to this time.
   Time confirmedAt() const { return confirmedAt_; }
 
@@ -48,6 +55,8 @@
   void onCaughtUp();
   void lease();
   void campaign();
+  void takeParts();
+  void abandonTaking();
   void renew();
   void depose(const char* why);
   void pause();
@@ -70,6 +79,10 @@
   std::uint64_t term_ = 0;      // the last one known of
   std::uint64_t ownStamp_ = 0;  // of the leader key as this life wrote it
   unsigned parts_ = 1;
+  std::uint64_t layout_ = constants::kLayout;
+  std::vector<std::uint64_t> partStamps_;  // of the parts taken so far
+  Time retryTaking_{};
+  bool takingCall_ = false;
   std::uint64_t permit_ = 0;
 };
 
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -91,6 +91,9 @@
 
 inline constexpr std::uint64_t kLayout =
     2;  // of the records; 1 kept placements in one record for each machine
+inline constexpr std::uint64_t kLayoutGangs =
+    3;  // the same with gangs among the jobs; written with the first gang, since readers of 2 would lose it
+inline constexpr double kValueFill = 0.95;  // of the value limit, for a job's record: marks and stamps differ
 
 // --- Decisions ------------------------------------------------------------------------------------------
 inline constexpr milliseconds kTick = 50ms;           // step of all time-outs of the decision core
@@ -109,7 +112,11 @@
 inline constexpr milliseconds kNoAimPatience = 5min;    // start aimed at for jobs for which no aim is stated
 inline constexpr milliseconds kOverlookedAfter = 150s;  // without a start: goes first; the largest have 240 s
 inline constexpr std::uint32_t kOverlookedShare = 8;  // an overlooked job gets this part of its tasks at once
-inline constexpr std::uint32_t kDoneChunk = 4096;     // tasks per done key: 1 KiB of hex, below any limit
+inline constexpr milliseconds kGangHold = 60s;  // broken-up room is held for a gang this long: two boots
+inline constexpr std::size_t kGangsHeld = 8;    // gangs at once, so that arrays keep most of what comes free
+inline constexpr milliseconds kGangRetry = 500ms;    // after an attempt that failed; doubles
+inline constexpr milliseconds kGangRetryMost = 15s;  // longest pause between attempts of a gang
+inline constexpr std::uint32_t kDoneChunk = 4096;    // tasks per done key: 1 KiB of hex, below any limit
 
 // --- Machines -------------------------------------------------------------------------------------------
 inline constexpr double kSilentReports = 3.0;  // missed reports after which a machine gets no new work
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -63,6 +63,23 @@
     if (const Json* found = wire::field(map_, key); found != nullptr && !found->is_null())
       amount(key, out, 0);
   }
+  // Absent: no change; else the smaller of both.
+  void lowerAmount(const char* key, double& out, double least) {
+    if (const Json* found = wire::field(map_, key); found == nullptr || found->is_null()) return;
+    double value = out;
+    amount(key, value, least);
+    out = std::min(out, value);
+  }
+  void lowerCount(const char* key, unsigned& out, unsigned least) {
+    if (const Json* found = wire::field(map_, key); found == nullptr || found->is_null()) return;
+    unsigned value = out;
+    count(key, value, least);
+    out = std::min(out, value);
+  }
+  const Json* maybeMap(const char* key) const {
+    const Json* found = wire::field(map_, key);
+    return found == nullptr || found->is_null() ? nullptr : found;
+  }
   void count(const char* key, unsigned& out, unsigned least) {
     const auto value = wire::countField(map_, key);
     if (!value || *value < least)
@@ -191,11 +208,22 @@
   workers.amount("report_s", out.reportS, 0.1);
   workers.amount("lease_s", out.leaseS, 1);
   workers.amount("cancel_s", out.cancelS, 1);
+  workers.maybeAmount("gang_wait_s", out.gangWaitS);
+  workers.maybeAmount("gang_peer_s", out.gangPeerS);
   Reader state = facts.map("state");
   state.amount("rps", out.stateRps, 1);
   state.amount("write_rps", out.stateWriteRps, 1);
   state.amount("value_kb", out.stateValueKb, 2);
   state.count("txn_ops", out.stateTxnOps, 4);
+  out.partsAtFirst = std::min(out.initialSize, std::max(out.stateTxnOps, 3U) - 2);
+  // Announced limits come without notice: they are kept from the start.
+  if (const Json* next = state.maybeMap("next"); next != nullptr) {
+    Reader lower = state.map("next");
+    lower.lowerAmount("rps", out.stateRps, 1);
+    lower.lowerAmount("write_rps", out.stateWriteRps, 1);
+    lower.lowerAmount("value_kb", out.stateValueKb, 2);
+    lower.lowerCount("txn_ops", out.stateTxnOps, 4);
+  }
   Reader cloud = facts.map("cloud");
   cloud.amount("rps", out.cloudRps, 0.1);
   cloud.amount("list_lag_s", out.cloudListLagS, 0);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -65,6 +65,11 @@
   double stateWriteRps = 20;
   double stateValueKb = 8;
   unsigned stateTxnOps = 12;
+  // The parts of a first start. From the present limits, also where lower ones are announced: the number is
+  // kept for ever, and every version must come to the same.
+  unsigned partsAtFirst = 1;
+  double gangWaitS = 45;  // a gang's task waits this long for the others
+  double gangPeerS = 4;   // in which a gang's tasks must all be told to stop
   double cloudRps = 4;
   double cloudListLagS = 6;
   double coreShare = 1;
--- a/src/fleet/episodes.cpp
+++ b/src/fleet/episodes.cpp
@@ -134,9 +134,9 @@
   return best;
 }
 
-Json Buffer::encode() const {
+Json Buffer::encode(std::size_t most) const {
   Json list = Json::array();
-  const std::size_t from = episodes_.size() > k::kCopyMost ? episodes_.size() - k::kCopyMost : 0;
+  const std::size_t from = episodes_.size() > most ? episodes_.size() - most : 0;
   // Whole thousandths: shorter, and exact to read back.
   const auto rounded = [](double value) { return std::round(value * 1000) / 1000; };
   for (std::size_t i = from; i < episodes_.size(); ++i) {
--- a/src/fleet/episodes.hpp
+++ b/src/fleet/episodes.hpp
@@ -69,7 +69,8 @@
   std::vector<Episode> retrieve(const Context& now, std::size_t count) const;
   const std::vector<Episode>& all() const { return episodes_; }
 
-  Json encode() const;
+  // The newest ones, at most so many.
+  Json encode(std::size_t most) const;
   // False: malformed, nothing was taken.
   bool decode(const Json& value);
 
--- a/src/fleet/pools.cpp
+++ b/src/fleet/pools.cpp
@@ -44,6 +44,8 @@
 // Whether the job should be given machines now, or can wait for room that comes free.
 bool urgent(const FleetWorld& world, const jobs::Job& job, double bootS) {
   if (job.spec.rank >= wire::Rank::high) return true;
+  // Room that comes free by itself comes in pieces.
+  if (job.isGang()) return true;
   if (job.spec.dueS) {
     const double slackS =
         static_cast<double>(job.dueMs() - world.wallMs) / 1000.0 - job.spec.expectS - kBootReserve * bootS;
--- a/src/fleet/sizing.cpp
+++ b/src/fleet/sizing.cpp
@@ -118,10 +118,16 @@
   state.open.reset();
 }
 
-Json Sizing::encode() const {
+Json Sizing::encode(std::size_t valueRoom) const {
   Json points = Json::array();
   for (const Point& point : frontier_.points()) points.push_back(Json::array({point.wait, point.cost}));
-  return Json{{"episodes", buffer_.encode()}, {"frontier", std::move(points)}, {"probe", probeChance_}};
+  Json out{{"episodes", Json::array()}, {"frontier", std::move(points)}, {"probe", probeChance_}};
+  for (std::size_t most = constants::kCopyMost; most > 0; most /= 2) {
+    out["episodes"] = buffer_.encode(most);
+    if (out.dump().size() <= valueRoom) break;
+    out["episodes"] = Json::array();
+  }
+  return out;
 }
 
 bool Sizing::decode(const Json& value) {
--- a/src/fleet/sizing.hpp
+++ b/src/fleet/sizing.hpp
@@ -37,7 +37,8 @@
   const Buffer& buffer() const { return buffer_; }
   const Frontier& frontier() const { return frontier_; }
   double probeChance() const { return probeChance_; }
-  Json encode() const;
+  // The copy for a new leader, with as many episodes as a value of so many bytes holds.
+  Json encode(std::size_t valueRoom) const;
   bool decode(const Json& value);
 
  private:
--- a/src/jobs/jobs.cpp
+++ b/src/jobs/jobs.cpp
@@ -26,6 +26,26 @@
   return "accepted";
 }
 
+std::string_view name(GangPhase phase) {
+  switch (phase) {
+    case GangPhase::waiting:
+      return "waiting";
+    case GangPhase::reserving:
+      return "reserving";
+    case GangPhase::gathering:
+      return "gathering";
+    case GangPhase::running:
+      return "running";
+    case GangPhase::stopping:
+      return "stopping";
+    case GangPhase::clearing:
+      return "clearing";
+    case GangPhase::done:
+      return "done";
+  }
+  return "waiting";
+}
+
 std::string jobKey(const std::string& ref) { return "jobs/" + ref; }
 std::string doneKey(const std::string& ref, std::uint32_t chunk) {
   return "done/" + ref + "/" + std::to_string(chunk);
@@ -63,6 +83,7 @@
   errors = 0;
   errorHosts.clear();
   heldUntil = Time{};
+  gang = Gang{};
   waitingSince = lastPlaced = now;
 }
 
--- a/src/jobs/jobs.hpp
+++ b/src/jobs/jobs.hpp
@@ -18,6 +18,23 @@
 enum class JobPhase { accepted, done, cancelled };
 std::string_view name(JobPhase phase);
 
+// A gang, as its owner sees it. waiting: for room, with nothing of an earlier attempt left. reserving: its
+// places are being written, in one transaction or several; nothing is launched before the last. gathering:
+// launched, its tasks fetch their images and wait for each other. running: all do. stopping: all have been
+// told to stop, saving if they can. clearing: the attempt has failed, and what is left of it is stopped.
+// done: one task was reported done, so all are.
+enum class GangPhase : std::uint8_t { waiting, reserving, gathering, running, stopping, clearing, done };
+std::string_view name(GangPhase phase);
+
+struct Gang {
+  GangPhase phase = GangPhase::waiting;
+  std::uint64_t number = 0;  // of the attempt, the same for all its tasks
+  int failures = 0;          // in a row
+
+  // The one function that changes a gang's phase.
+  void to(GangPhase next) { phase = next; }
+};
+
 enum class TaskPhase : std::uint8_t { waiting, placed, completed };
 
 struct Job {
@@ -44,9 +61,11 @@
   Time heldUntil{};
   Time waitingSince{};
   Time lastPlaced{};  // or begun to be owned
+  Gang gang;
 
   bool open() const { return phase == JobPhase::accepted; }
-  bool finished() const { return spec.shape == wire::Shape::sweep && completed == spec.loads; }
+  bool isGang() const { return spec.shape == wire::Shape::gang; }
+  bool finished() const { return spec.shape != wire::Shape::daemon && completed == spec.loads; }
   wire::Stage shownStage() const;
   // The one function that changes a task's phase.
   void to(std::uint32_t index, TaskPhase next, Time now);
--- a/src/machines/machines.hpp
+++ b/src/machines/machines.hpp
@@ -27,6 +27,7 @@
   double sizeGb = 0;
   wire::Rank rank = wire::Rank::standard;
   bool daemon = false;
+  bool gang = false;
   bool saves = false;
   double stowS = 0;
   AttemptPhase phase = AttemptPhase::planned;
--- a/src/machines/pages.cpp
+++ b/src/machines/pages.cpp
@@ -95,6 +95,28 @@
   return take(fresh);
 }
 
+bool PageTable::shrink(MachineTable& machines, std::uint32_t number, std::set<std::uint32_t>& round,
+                       std::size_t pagesMost) {
+  if (pages_[number].bytes <= room_) return round.size() < pagesMost;
+  for (auto& [host, machine] : machines.all()) {
+    std::size_t left = 0;
+    std::size_t moved = 0;
+    for (Attempt& attempt : machine.attempts) {
+      if (attempt.paged != number) continue;
+      ++left;
+      // Its own place in the round is kept free.
+      if (pages_[number].bytes <= room_) continue;
+      const auto other = place(machine, attempt, round, pagesMost - 1);
+      if (!other) return false;
+      attempt.paged = other;
+      pages_[number].bytes -= attemptBytes(attempt);
+      ++moved;
+    }
+    if (moved > 0 && moved == left) pages_[number].bytes -= hostBytes(machine);
+  }
+  return pages_[number].bytes <= room_ && round.size() < pagesMost;
+}
+
 std::map<std::uint32_t, Json> PageTable::encode(const MachineTable& machines,
                                                 const std::set<std::uint32_t>& numbers) const {
   std::map<std::uint32_t, Json> out;
--- a/src/machines/pages.hpp
+++ b/src/machines/pages.hpp
@@ -49,6 +49,11 @@
   // when the round's pages are full.
   std::optional<std::uint32_t> place(const Machine& machine, const Attempt& attempt,
                                      std::set<std::uint32_t>& round, std::size_t pagesMost);
+  // A page that an earlier version wrote under larger limits: what no longer fits moves to other pages, which
+  // join the round. Each step is safe by itself: until the page itself is written it goes on naming what has
+  // moved. Whether it may be written now.
+  bool shrink(MachineTable& machines, std::uint32_t number, std::set<std::uint32_t>& round,
+              std::size_t pagesMost);
   // The pages' next values.
   std::map<std::uint32_t, Json> encode(const MachineTable& machines,
                                        const std::set<std::uint32_t>& numbers) const;
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 
 #include "placement/aims.hpp"
 
@@ -15,6 +16,7 @@
 constexpr double kWrongKindS = 6.0;     // ordinary machine for work that may use spot: its room is prod's
 constexpr double kEmptyServiceS = 0.4;  // an empty machine that has the image beats a fuller one that has not
 constexpr double kEmptyArrayS = 3.0;    // filling machines up leaves others to be returned
+constexpr double kGangLossS = 60.0;     // of stopping a gang for the sake of one task's room
 constexpr double kSharedFetchS = 0.5;   // joining a fetch that is under way costs about half of it
 
 using ZoneCount = std::map<std::string, std::uint32_t>;
@@ -46,7 +48,8 @@
   explicit Planner(const World& world) : world_(world) {
     std::unordered_map<std::string_view, ZoneCount*> zoned;  // jobs that care where their other tasks are
     for (const Job* job : world.jobs)
-      if (job->spec.apart || job->spec.oneZone) zoned[job->spec.ref.text] = &placed_[job->spec.ref.text];
+      if (job->spec.apart || job->spec.oneZone || job->isGang())
+        zoned[job->spec.ref.text] = &placed_[job->spec.ref.text];
     const bool limited =
         std::any_of(world.settings.teams.begin(), world.settings.teams.end(), [](const auto& team) {
           return team.cpus > 0 || team.cpusMax > 0 || team.gpus > 0 || team.gpusMax > 0;
@@ -137,13 +140,13 @@
     return Turn{&job, call.reachable ? Tier::reachable : Tier::late, call.latestStartMs};
   }
 
-  bool withinLimit(const Job& job) const {
+  bool withinLimit(const Job& job, std::uint32_t tasks = 1) const {
     const config::Team* team = world_.settings.team(job.spec.crew);
     if (team == nullptr) return false;
     if (team->cpusMax <= 0 && team->gpusMax <= 0) return true;
     const TeamUse now = use(job.spec.crew);
-    if (team->cpusMax > 0 && now.cpus + job.spec.each.vcpus > team->cpusMax + 1e-6) return false;
-    return !(team->gpusMax > 0 && now.gpus + job.spec.each.accelerators > team->gpusMax + 1e-6);
+    if (team->cpusMax > 0 && now.cpus + job.spec.each.vcpus * tasks > team->cpusMax + 1e-6) return false;
+    return !(team->gpusMax > 0 && now.gpus + job.spec.each.accelerators * tasks > team->gpusMax + 1e-6);
   }
 
   static bool before(const Turn& a, const Turn& b) {
@@ -215,8 +218,152 @@
     return taken;
   }
 
+  // Where all tasks of a gang fit at once, in one zone or (for an empty name) anywhere: bins, one for each
+  // task.
+  struct Seats {
+    std::vector<std::size_t> bins;
+    double worstS = 0;  // until the last of them can start
+  };
+  Seats seats(const Job& job, const std::string& zone) const {
+    std::vector<std::pair<double, std::size_t>> order;
+    for (std::size_t i = 0; i < bins_.size(); ++i) {
+      const Bin& bin = bins_[i];
+      if ((zone.empty() || bin.machine->yard == zone) && job.spec.each.fitsIn(bin.room) && usable(bin, job))
+        order.emplace_back(delay(bin, job), i);
+    }
+    std::sort(order.begin(), order.end());
+    Seats out;
+    ZoneCount placed;
+    for (const auto& [seconds, at] : order) {
+      wire::Resources room = bins_[at].room;
+      while (out.bins.size() < job.spec.loads && job.spec.each.fitsIn(room) &&
+             zoneAllows(job.spec, placed, bins_[at].machine->yard)) {
+        room -= job.spec.each;
+        ++placed[bins_[at].machine->yard];
+        out.bins.push_back(at);
+        out.worstS = seconds;
+      }
+      if (out.bins.size() == job.spec.loads) break;
+    }
+    return out;
+  }
+
+  std::vector<std::string> gangZones(const Job& job) const {
+    if (!job.spec.oneZone) return {""};
+    std::set<std::string> zones;
+    for (const Bin& bin : bins_) zones.insert(bin.machine->yard);
+    return {zones.begin(), zones.end()};
+  }
+
+  // All or nothing, in one decision, and nothing while anything of an earlier attempt may be on a machine.
+  void placeGang(Job& job) {
+    if (job.waiting != job.spec.loads || !placed_[job.spec.ref.text].empty()) return;
+    // Broken-up room never adds up to a gang while other work keeps taking it: what there is in the best
+    // zone, and of the team's limit, is held for a bounded time, and again once the gang has waited too long.
+    const auto waited = world_.now - job.waitingSince;
+    const bool holds = held_ < constants::kGangsHeld &&
+                       (waited <= constants::kGangHold || waited >= constants::kOverlookedAfter);
+    if (!withinLimit(job, job.spec.loads)) {
+      if (!holds) return;
+      ++held_;
+      TeamUse& now = teams_[job.spec.crew];
+      now.cpus += job.spec.each.vcpus * job.spec.loads;
+      now.gpus += job.spec.each.accelerators * job.spec.loads;
+      return;
+    }
+    if (!plan_.assignments.empty() && plan_.assignments.size() + job.spec.loads > world_.maxTasks) return;
+    if (jobs_ >= world_.maxJobs) return;
+    Seats best;
+    for (const std::string& zone : gangZones(job)) {
+      Seats found = seats(job, zone);
+      if (found.bins.size() > best.bins.size() ||
+          (found.bins.size() == best.bins.size() && found.worstS < best.worstS))
+        best = std::move(found);
+    }
+    if (best.bins.size() == job.spec.loads) {
+      for (std::uint32_t i = 0; i < job.spec.loads; ++i) take(bins_[best.bins[i]], job, i);
+      ++jobs_;
+      return;
+    }
+    plan_.unmet.push_back(Unmet{&job, job.spec.loads});
+    makeRoomForGang(job);
+    if (!holds) return;
+    ++held_;
+    for (const std::size_t at : best.bins) bins_[at].room -= job.spec.each;
+  }
+
+  // What may be stopped so that the whole gang fits, in the cheapest zone; nothing if it still would not.
+  void makeRoomForGang(const Job& job) {
+    const bool guaranteed = withinGuarantee(job.spec.ref.text);
+    if (job.spec.rank <= lowestRank_ && !(guaranteed && anyOverGuarantee_)) return;
+    struct Option {
+      double cost = 0;
+      const Bin* bin = nullptr;
+      std::vector<const machines::Attempt*> victims;
+    };
+    std::vector<Option> best;
+    double bestCost = std::numeric_limits<double>::max();
+    for (const std::string& zone : gangZones(job)) {
+      std::uint32_t fit = 0;
+      std::vector<Option> options;
+      for (const Bin& bin : bins_) {
+        if ((!zone.empty() && bin.machine->yard != zone) || !usable(bin, job)) continue;
+        wire::Resources room = bin.room;
+        std::vector<const machines::Attempt*> candidates;
+        for (const machines::Attempt& attempt : bin.machine->attempts) {
+          if (!attempt.holdsRoom()) continue;
+          if (attempt.stopWanted || stopped_.contains(attempt.number)) {
+            room += attempt.each;  // on its way out
+          } else if (!attempt.gang && mayStop(job, guaranteed, attempt)) {
+            candidates.push_back(&attempt);
+          }
+        }
+        const auto takeSeats = [&] {
+          std::uint32_t seats = 0;
+          for (; job.spec.each.fitsIn(room); ++seats) room -= job.spec.each;
+          return seats;
+        };
+        fit += takeSeats();
+        std::sort(candidates.begin(), candidates.end(), [this](const auto* a, const auto* b) {
+          return a->rank != b->rank ? a->rank < b->rank : loss(*a) < loss(*b);
+        });
+        Option option{0, &bin, {}};
+        double dearest = 0;
+        for (const auto* victim : candidates) {
+          room += victim->each;
+          option.cost += loss(*victim) + 1;
+          option.victims.push_back(victim);
+          if (takeSeats() == 0) continue;
+          // A bin's options build on each other, so a later one is never chosen before an earlier.
+          option.cost = dearest = std::max(dearest, option.cost);
+          options.push_back(std::exchange(option, Option{0, &bin, {}}));
+        }
+      }
+      if (fit >= job.spec.loads) return;  // the room is coming
+      std::stable_sort(options.begin(), options.end(),
+                       [](const Option& a, const Option& b) { return a.cost < b.cost; });
+      const std::size_t need = job.spec.loads - fit;
+      if (options.size() < need) continue;
+      options.resize(need);
+      double cost = 0;
+      for (const Option& option : options) cost += option.cost;
+      if (cost >= bestCost) continue;
+      bestCost = cost;
+      best = std::move(options);
+    }
+    if (plan_.stops.size() + best.size() > world_.maxStops) return;
+    for (const Option& option : best) {
+      for (const auto* victim : option.victims) {
+        if (!stopped_.insert(victim->number).second) continue;
+        plan_.stops.push_back(
+            Stop{option.bin->machine, victim->task, victim->number, victim->saves ? victim->stowS + 1 : 0});
+      }
+    }
+  }
+
   void placeJob(Job& job, Tier tier) {
     if (job.waiting == 0 || job.heldUntil > world_.now) return;
+    if (job.isGang()) return placeGang(job);
     const std::uint32_t most =
         tier == Tier::overlooked ? std::max(1U, job.waiting / constants::kOverlookedShare) : job.waiting;
     bool blockedByTeam = false;
@@ -335,6 +482,8 @@
   }
 
   double loss(const machines::Attempt& attempt) const {
+    // It would stop its whole gang.
+    if (attempt.gang) return kGangLossS + wire::toSeconds(world_.now - attempt.placedAt);
     if (attempt.phase != machines::AttemptPhase::running) return 0;
     return attempt.saves ? attempt.stowS : wire::toSeconds(world_.now - attempt.runningSince);
   }
@@ -349,6 +498,7 @@
   wire::Rank lowestRank_ = wire::Rank::prod;
   bool anyOverGuarantee_ = false;
   std::size_t jobs_ = 0;
+  std::size_t held_ = 0;  // gangs for which room is held
 };
 
 }  // namespace
--- a/src/service/controller.cpp
+++ b/src/service/controller.cpp
@@ -31,11 +31,11 @@
                {[this](const auto& key, const Json* value, std::uint64_t stamp) { onJob(key, value, stamp); },
                 nullptr, nullptr}),
       leadership_(context_.state, settings, seed,
-                  {[this](std::uint64_t term, std::uint64_t stamp) {
+                  {[this](std::uint64_t term, const std::vector<std::uint64_t>& stamps) {
                      // Made in the next turn: this is called from within the leadership's own affairs.
                      ownerDue_ = true;
                      ownerTerm_ = term;
-                     ownerStamp_ = stamp;
+                     ownerStamps_ = stamps;
                      context_.event(Level::info, "elected", {{"term", term}});
                    },
                    [this](const char* why) {
@@ -47,7 +47,7 @@
                      context_.event(Level::error, "layout_refused",
                                     {{"found", layout}, {"readable", constants::kLayout}});
                    }}),
-      users_(context_, jobFeed_, jobs_,
+      users_(context_, jobFeed_, jobs_, leadership_,
              [this](auto change, const std::string& ref) { applied(change, ref); }) {}
 
 void Controller::at(Time now, std::int64_t wallMs) {
@@ -72,7 +72,7 @@
       owner_.reset();
     }
     if (ownerTerm_ != 0)
-      owner_ = std::make_unique<Owner>(context_, leadership_, jobFeed_, jobs_, ownerTerm_, ownerStamp_);
+      owner_ = std::make_unique<Owner>(context_, leadership_, jobFeed_, jobs_, ownerTerm_, ownerStamps_);
   }
   leadership_.tick(now);
   // The owner's window for answering workers rests on this read as well as on the lease.
--- a/src/service/controller.hpp
+++ b/src/service/controller.hpp
@@ -65,7 +65,7 @@
   Users users_;
   std::unique_ptr<Owner> owner_;
   std::uint64_t ownerTerm_ = 0;
-  std::uint64_t ownerStamp_ = 0;
+  std::vector<std::uint64_t> ownerStamps_;
   bool ownerDue_ = false;
   Time nextConfirm_{};
   Time nextBeat_{};
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -16,13 +16,13 @@
 }  // namespace
 
 Owner::Owner(Context& context, cluster::Leadership& leadership, state::Feed& jobFeed, jobs::JobTable& jobs,
-             std::uint64_t term, std::uint64_t partsStamp)
+             std::uint64_t term, std::vector<std::uint64_t> partStamps)
     : context_(context),
       leadership_(leadership),
       jobFeed_(jobFeed),
       jobs_(jobs),
       term_(term),
-      partsStamp_(partsStamp),
+      partStamps_(std::move(partStamps)),
       electedAt_(context.now),
       pages_(std::min<std::size_t>(constants::kPageBytes, valueRoom(context.settings))),
       valueRoom_(valueRoom(context.settings)),
@@ -65,8 +65,8 @@
 
 std::vector<state::Condition> Owner::partConditions() const {
   std::vector<state::Condition> out;
-  for (cluster::Part part = 0; part < leadership_.parts(); ++part)
-    out.push_back({cluster::partKey(part), partsStamp_});
+  for (cluster::Part part = 0; part < partStamps_.size(); ++part)
+    out.push_back({cluster::partKey(part), partStamps_[part]});
   return out;
 }
 
@@ -160,6 +160,8 @@
     // Until this moment plus its window an earlier owner may have renewed the worker's lease.
     machine.lastAnswered = electedAt_ + context_.settings.answerWindow();
     for (const auto& [task, attemptNumber] : paged.placed) {
+      // On its way from a page that has become too large to another it stands on both.
+      if (machine.find(task, attemptNumber) != nullptr) continue;
       Attempt attempt;
       attempt.task = task;
       attempt.number = attemptNumber;
@@ -208,6 +210,7 @@
       attempt.sizeGb = job->spec.sizeGb;
       attempt.rank = job->spec.rank;
       attempt.daemon = job->spec.shape == wire::Shape::daemon;
+      attempt.gang = job->isGang();
       attempt.saves = job->spec.stowEveryS > 0;
       attempt.stowS = job->spec.stowS;
       if (job->tasks[attempt.task.index] == jobs::TaskPhase::waiting)
@@ -215,6 +218,7 @@
     }
     if (machine.phase == MachinePhase::returning) cloud_->giveBack(context_.now, host);
   }
+  adoptGangs();
   to(State::acting);
   actingSince_ = context_.now;
   nextCopy_ = context_.now + constants::kCopyEvery;
@@ -244,7 +248,7 @@
   nextCopy_ = context_.now + constants::kCopyEvery;
   state::Transaction transaction;
   transaction.conditions = partConditions();
-  transaction.writes.push_back({kLearnedKey, sizing_.encode(), std::nullopt});
+  transaction.writes.push_back({kLearnedKey, sizing_.encode(valueRoom_), std::nullopt});
   context_.state.multi(context_.now, state::Urgency::rest, transaction, [](const auto&) {});
 }
 
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -34,7 +34,7 @@
   enum class State { loading, acting };
 
   Owner(Context& context, cluster::Leadership& leadership, state::Feed& jobFeed, jobs::JobTable& jobs,
-        std::uint64_t term, std::uint64_t partsStamp);
+        std::uint64_t term, std::vector<std::uint64_t> partStamps);
   Owner(const Owner&) = delete;
 
   void tick();
@@ -129,6 +129,18 @@
   void cleaningRound();
   void refusedBy(const state::Outcome& outcome, const char* what);
 
+  // --- owner_gangs.cpp: attempts of gangs begin and end whole
+  void forEachAttempt(const std::string& ref, const std::function<void(Machine&, Attempt&)>& visit);
+  void toGang(jobs::Job& job, jobs::GangPhase next, const char* why);
+  void adoptGangs();
+  bool gangMayLaunch(const Attempt& attempt);
+  void gangWritten(jobs::Job& job);
+  void gangRuns(jobs::Job& job);
+  void gangLost(jobs::Job& job, const Attempt& attempt, const char* why);
+  void stopGang(const std::string& ref, double leftS, const char* why);
+  void completeGang(jobs::Job& job);
+  void reserveRest(std::set<std::uint32_t>& pages, std::set<std::string>& jobs, std::set<std::string>& hosts);
+
   // --- owner_fleet.cpp: renting, returning, sizing
   void onRented(const cloud::PoolKey& pool, const std::vector<std::string>& hosts, std::size_t refused);
   void onReturned(const std::vector<std::string>& hosts);
@@ -150,7 +162,7 @@
   state::Feed& jobFeed_;
   jobs::JobTable& jobs_;
   std::uint64_t term_;
-  std::uint64_t partsStamp_;
+  std::vector<std::uint64_t> partStamps_;
   State state_ = State::loading;
   bool resigned_ = false;
   Time electedAt_{};
@@ -197,6 +209,8 @@
   Time selfCutSince_{};
   std::vector<placement::Unmet> unmet_;
   std::set<std::string> recordDeletes_;
+  std::set<std::string> reserving_;  // gangs of which some places are not in a transaction yet
+  bool unfamiliarLogged_ = false;
 
   std::unique_ptr<cloud::Client> cloud_;
   fleet::Sizing sizing_;
--- a/src/service/owner_fleet.cpp
+++ b/src/service/owner_fleet.cpp
@@ -5,6 +5,10 @@
 
 namespace reachhoist::service {
 
+namespace {
+constexpr double kNoHurryS = 1e9;  // nobody takes the machine away
+}  // namespace
+
 void Owner::describe(Machine& machine) {
   if (!context_.catalog) return;
   for (const wire::RigType& rig : *context_.catalog) {
@@ -91,8 +95,14 @@
   machine.returnReason = why;
   machine.to(MachinePhase::draining, context_.now);
   context_.event(Level::info, "draining", {{"machine", machine.host.text}, {"why", why}});
-  for (Attempt& attempt : machine.attempts)
-    if (!gently || attempt.daemon) stop(machine, attempt, attempt.saves ? attempt.stowS + 1 : 0);
+  for (Attempt& attempt : machine.attempts) {
+    if (gently && !attempt.daemon) continue;
+    if (attempt.gang) {
+      stopGang(attempt.task.job.text, kNoHurryS, why);
+    } else {
+      stop(machine, attempt, attempt.saves ? attempt.stowS + 1 : 0);
+    }
+  }
 }
 
 void Owner::condemn(Machine& machine, const char* why) {
--- /dev/null
+++ b/src/service/owner_gangs.cpp
@@ -0,0 +1,141 @@
+// Gangs: all tasks of an attempt run at the same time or none does. One number for the whole attempt, all
+// places durable before the first launch, and the next attempt only once nothing of this one may be left.
+#include <algorithm>
+
+#include "service/owner.hpp"
+
+namespace reachhoist::service {
+
+using jobs::GangPhase;
+
+void Owner::forEachAttempt(const std::string& ref, const std::function<void(Machine&, Attempt&)>& visit) {
+  for (auto& [host, machine] : machines_.all())
+    for (Attempt& attempt : machine.attempts)
+      if (attempt.task.job.text == ref) visit(machine, attempt);
+}
+
+void Owner::toGang(jobs::Job& job, GangPhase next, const char* why) {
+  if (job.gang.phase == next) return;
+  context_.event(Level::info, "gang",
+                 {{"job", job.spec.ref.text},
+                  {"from", std::string(name(job.gang.phase))},
+                  {"to", std::string(name(next))},
+                  {"why", why}});
+  job.gang.to(next);
+}
+
+// What an earlier owner left. A whole attempt may be running; part of one can't be completed by anybody.
+void Owner::adoptGangs() {
+  std::map<std::string, std::set<std::uint32_t>> tasks;  // of the latest attempt
+  for (auto& [host, machine] : machines_.all()) {
+    for (const Attempt& attempt : machine.attempts) {
+      jobs::Job* job = attempt.gang ? jobs_.find(attempt.task.job.text) : nullptr;
+      if (job == nullptr || attempt.number < job->gang.number) continue;
+      if (attempt.number > job->gang.number) tasks[attempt.task.job.text].clear();
+      job->gang.number = attempt.number;
+      tasks[attempt.task.job.text].insert(attempt.task.index);
+    }
+  }
+  for (auto& [ref, found] : tasks) {
+    jobs::Job& job = *jobs_.find(ref);
+    const bool whole = found.size() == job.spec.loads;
+    toGang(job, whole ? GangPhase::gathering : GangPhase::clearing, "adopted");
+    forEachAttempt(ref, [&](Machine& machine, Attempt& attempt) {
+      if (!whole || attempt.number != job.gang.number) stop(machine, attempt, 0);
+    });
+  }
+}
+
+bool Owner::gangMayLaunch(const Attempt& attempt) {
+  const jobs::Job* job = jobs_.find(attempt.task.job.text);
+  return job != nullptr && job->open() && job->gang.number == attempt.number &&
+         job->gang.phase == GangPhase::gathering;
+}
+
+// Places that found no page in the round of their decision.
+void Owner::reserveRest(std::set<std::uint32_t>& pages, std::set<std::string>& jobs,
+                        std::set<std::string>& hosts) {
+  if (reserving_.empty()) return;
+  pages_.weigh(machines_);
+  for (auto at = reserving_.begin(); at != reserving_.end();) {
+    const std::string ref = *at;
+    bool more = false;
+    forEachAttempt(ref, [&](Machine& machine, Attempt& attempt) {
+      if (attempt.phase != AttemptPhase::planned || attempt.paged) return;
+      if (attempt.stopWanted || machine.phase != MachinePhase::up) {
+        release(machine, attempt, "not placed");
+        machine.recordBusy =
+            std::any_of(machine.attempts.begin(), machine.attempts.end(),
+                        [](const Attempt& other) { return other.phase == AttemptPhase::planned; });
+        return;
+      }
+      attempt.paged = pages_.place(machine, attempt, pages, constants::kPagesPerRound);
+      if (!attempt.paged) {
+        more = true;
+        return;
+      }
+      machine.recordBusy = true;
+      hosts.insert(machine.host.text);
+      jobs.insert(ref);
+    });
+    at = more ? std::next(at) : reserving_.erase(at);
+  }
+}
+
+void Owner::gangWritten(jobs::Job& job) {
+  if (job.gang.phase != GangPhase::reserving) return;
+  std::uint32_t recorded = 0;
+  forEachAttempt(job.spec.ref.text, [&](Machine&, Attempt& attempt) {
+    if (attempt.number == job.gang.number && attempt.phase == AttemptPhase::recorded) ++recorded;
+  });
+  if (recorded < job.spec.loads) return;
+  toGang(job, GangPhase::gathering, "all places are durable");
+  forEachAttempt(job.spec.ref.text, [this](Machine& machine, Attempt&) { ordersDue(machine); });
+}
+
+void Owner::gangRuns(jobs::Job& job) {
+  if (job.gang.phase != GangPhase::gathering || job.running < job.spec.loads) return;
+  job.gang.failures = 0;
+  toGang(job, GangPhase::running, "all tasks run");
+}
+
+// A task of the present attempt has ended without being done, or is gone: the rest can't go on.
+void Owner::gangLost(jobs::Job& job, const Attempt& attempt, const char* why) {
+  if (!job.isGang() || !job.open() || attempt.number != job.gang.number) return;
+  const GangPhase phase = job.gang.phase;
+  if (phase != GangPhase::reserving && phase != GangPhase::gathering && phase != GangPhase::running) return;
+  toGang(job, GangPhase::clearing, why);
+  ++job.gang.failures;
+  const auto pause = constants::kGangRetry * (1 << std::min(job.gang.failures - 1, 6));
+  job.heldUntil = std::max(
+      job.heldUntil, context_.now + std::min<std::chrono::milliseconds>(pause, constants::kGangRetryMost));
+  forEachAttempt(job.spec.ref.text, [this](Machine& machine, Attempt& other) {
+    if (other.holdsRoom()) stop(machine, other, 0);
+  });
+}
+
+// To make room or to drain a machine: all tasks are told at once, with time to save if there is so much left.
+void Owner::stopGang(const std::string& ref, double leftS, const char* why) {
+  jobs::Job* job = jobs_.find(ref);
+  if (job == nullptr || !job->open() || !job->isGang()) return;
+  const GangPhase phase = job->gang.phase;
+  if (phase != GangPhase::reserving && phase != GangPhase::gathering && phase != GangPhase::running) return;
+  const double graceS = job->spec.stowS + 1;
+  const bool saves = phase == GangPhase::running && job->spec.stowEveryS > 0 && graceS < leftS;
+  toGang(*job, GangPhase::stopping, why);
+  forEachAttempt(ref, [&](Machine& machine, Attempt& attempt) {
+    if (attempt.holdsRoom()) stop(machine, attempt, saves ? graceS : 0);
+  });
+}
+
+// They complete together: one task done means all are, and nothing is run again for the sake of tasks whose
+// machines have vanished meanwhile.
+void Owner::completeGang(jobs::Job& job) {
+  toGang(job, GangPhase::done, "a task is done");
+  for (std::uint32_t index = 0; index < job.spec.loads; ++index)
+    job.to(index, jobs::TaskPhase::completed, context_.now);
+  finishedJobs_.insert(job.spec.ref.text);
+  planDue_ = true;
+}
+
+}  // namespace reachhoist::service
--- a/src/service/owner_rounds.cpp
+++ b/src/service/owner_rounds.cpp
@@ -6,6 +6,10 @@
 
 namespace reachhoist::service {
 
+namespace {
+constexpr double kNoHurryS = 1e9;  // room is made for others, and the gang may save first
+}  // namespace
+
 void Owner::refusedBy(const state::Outcome& outcome, const char* what) {
   for (const std::string& key : outcome.failed) {
     if (key.starts_with("jobs/")) {
@@ -148,7 +152,7 @@
                          {},
                          {},
                          {},
-                         4 * ops - constants::kPagesPerRound - leadership_.parts()};
+                         4 * ops - constants::kPagesPerRound - partStamps_.size()};
   for (const std::string& ref : jobs_.open()) {
     jobs::Job* job = jobs_.find(ref);
     world.open.push_back(job);
@@ -169,7 +173,11 @@
     if (Attempt* attempt = order.machine->find(order.task, order.attempt)) {
       context_.event(Level::info, "preempt",
                      {{"task", order.task.str()}, {"machine", order.machine->host.text}});
-      stop(*order.machine, *attempt, order.windDownS);
+      if (attempt->gang) {
+        stopGang(attempt->task.job.text, kNoHurryS, "preempted");
+      } else {
+        stop(*order.machine, *attempt, order.windDownS);
+      }
     }
   }
   return plan;
@@ -185,12 +193,21 @@
     Attempt attempt;
     attempt.task = wire::TaskId{spec.ref, assignment.index};
     attempt.paged = pages_.place(*assignment.machine, attempt, pages, constants::kPagesPerRound);
-    if (!attempt.paged) {
+    jobs::Gang& gang = assignment.job->gang;
+    attempt.gang = assignment.job->isGang();
+    const bool begun = attempt.gang && gang.phase == jobs::GangPhase::reserving;
+    if (!attempt.paged && !begun) {
       planDue_ = true;  // the rest goes with the next round
       break;
     }
-    // Unique for ever: no later life or leader gives the same number.
-    attempt.number = cluster::baton(term_, ++attempts_);
+    // A gang's places are taken in one decision, though they may need several transactions.
+    if (!attempt.paged) reserving_.insert(spec.ref.text);
+    // Unique for ever: no later life or leader gives the same number. A gang's tasks share theirs.
+    attempt.number = begun ? gang.number : cluster::baton(term_, ++attempts_);
+    if (attempt.gang && !begun) {
+      gang.number = attempt.number;
+      toGang(*assignment.job, jobs::GangPhase::reserving, "room for all");
+    }
     attempt.each = spec.each;
     attempt.crew = spec.crew;
     attempt.crate = spec.crate;
@@ -203,6 +220,7 @@
     assignment.machine->attempts.push_back(std::move(attempt));
     assignment.machine->recordBusy = true;
     assignment.job->to(assignment.index, jobs::TaskPhase::placed, context_.now);
+    if (!assignment.machine->attempts.back().paged) continue;
     hosts.insert(assignment.machine->host.text);
     jobs.insert(spec.ref.text);
   }
@@ -214,14 +232,24 @@
   std::set<std::uint32_t> pages;
   std::set<std::string> jobs;
   std::set<std::string> hosts;
-  if ((planDue_ || context_.now >= replanAt_) && context_.now >= nextPlan_ && context_.catalog) {
+  reserveRest(pages, jobs, hosts);
+  if (pages.empty() && (planDue_ || context_.now >= replanAt_) && context_.now >= nextPlan_ &&
+      context_.catalog) {
     planDue_ = false;
     hosts = takeAssignments(planRound(), pages, jobs);
   }
   // Pages that name machines which are gone are written anew along with others, or by themselves in the end.
-  if (!pages.empty() || context_.now >= nextClean_) {
-    while (!stalePages_.empty() && pages.size() < constants::kPagesPerRound)
-      pages.insert(stalePages_.extract(stalePages_.begin()).value());
+  if (!stalePages_.empty() && (!pages.empty() || context_.now >= nextClean_)) {
+    pages_.weigh(machines_);
+    for (auto at = stalePages_.begin();
+         at != stalePages_.end() && pages.size() < constants::kPagesPerRound;) {
+      if (!pages.contains(*at) && !pages_.shrink(machines_, *at, pages, constants::kPagesPerRound)) {
+        ++at;  // what has moved off it is written first
+        continue;
+      }
+      pages.insert(*at);
+      at = stalePages_.erase(at);
+    }
   }
   if (pages.empty()) return;
   nextClean_ = context_.now + constants::kCleanEvery;
@@ -247,12 +275,18 @@
   const bool applied = outcome.verdict == state::Verdict::applied;
   if (applied)
     for (const auto& [page, named] : pages) pages_.written(page, outcome.stamp, named);
+  std::set<std::string> gangs;
   for (const std::string& host : hosts) {
     Machine* machine = machines_.find(host);
     if (machine == nullptr) continue;
     machine->recordBusy = false;
     for (Attempt& attempt : machine->attempts) {
       if (attempt.phase != AttemptPhase::planned) continue;
+      if (!attempt.paged || !pages.contains(*attempt.paged)) {
+        machine->recordBusy = true;  // a place of a gang whose turn is the next transaction
+        continue;
+      }
+      if (attempt.gang) gangs.insert(attempt.task.job.text);
       // Stopped while it was being written, or on a machine that is being given up: never launched, so free.
       const bool wanted = !attempt.stopWanted && machine->phase == MachinePhase::up;
       if (applied && wanted) {
@@ -267,6 +301,8 @@
     dropFree(*machine);
     if (!machine->empty()) machine->idleSince = context_.now;
   }
+  for (const std::string& ref : gangs)
+    if (jobs::Job* job = jobs_.find(ref); job != nullptr && job->open()) gangWritten(*job);
   if (!applied) refusedBy(outcome, "placements");
 }
 
--- a/src/service/owner_workers.cpp
+++ b/src/service/owner_workers.cpp
@@ -1,5 +1,6 @@
 // Evidence from workers, and the orders that follow from it.
 #include <algorithm>
+#include <utility>
 
 #include "service/owner.hpp"
 
@@ -135,6 +136,13 @@
 void Owner::takeLoad(Machine& machine, Attempt& attempt, const wire::LoadState& load) {
   attempt.shift = machine.shift;
   switch (load.stage) {
+    case wire::LoadStage::unfamiliar:
+      // Whatever a later protocol says of it, it is there.
+      if (!std::exchange(unfamiliarLogged_, true))
+        context_.event(Level::info, "unfamiliar_state",
+                       {{"task", attempt.task.str()}, {"machine", machine.host.text}});
+      if (attempt.phase == AttemptPhase::recorded) setRunning(attempt, AttemptPhase::pulling);
+      return;
     case wire::LoadStage::pulling:
     case wire::LoadStage::waiting:
       setRunning(attempt, AttemptPhase::pulling);
@@ -147,6 +155,8 @@
                         {"after_s", wire::toSeconds(context_.now - attempt.placedAt)}});
       setRunning(attempt, AttemptPhase::running);
       if (!attempt.crate.empty()) machine.noteCrate(attempt.crate, attempt.sizeGb);
+      if (attempt.gang)
+        if (jobs::Job* job = jobs_.find(attempt.task.job.text); job != nullptr && job->open()) gangRuns(*job);
       return;
     case wire::LoadStage::saving:
       setRunning(attempt, AttemptPhase::saving);
@@ -174,7 +184,9 @@
                    {{"task", attempt.task.str()},
                     {"machine", machine.host.text},
                     {"cause", static_cast<int>(load.cause)}});
-  if (known) unplace(*job, attempt.task);
+  if (!known) return;
+  unplace(*job, attempt.task);
+  gangLost(*job, attempt, "a task ended");
 }
 
 void Owner::unplace(jobs::Job& job, const wire::TaskId& task) {
@@ -221,6 +233,7 @@
   context_.event(Level::info, "released",
                  {{"task", attempt.task.str()}, {"machine", machine.host.text}, {"why", why}});
   unplace(*job, attempt.task);
+  gangLost(*job, attempt, why);
 }
 
 void Owner::releaseAll(Machine& machine, const char* why) {
@@ -287,6 +300,7 @@
 void Owner::complete(const wire::TaskId& task) {
   jobs::Job& job = *jobs_.find(task.job.text);
   if (job.tasks[task.index] == jobs::TaskPhase::completed) return;
+  if (job.isGang()) return completeGang(job);
   job.to(task.index, jobs::TaskPhase::completed, context_.now);
   job.dirtyChunks.insert(task.index / constants::kDoneChunk);
   markDirty(task.job.text);
@@ -352,7 +366,7 @@
         if (attempt.stopWanted) {
           order.verb = wire::Verb::halt;
           rest.push_back(order);
-        } else if (attempt.directs == 0 && sure()) {
+        } else if (attempt.directs == 0 && sure() && (!attempt.gang || gangMayLaunch(attempt))) {
           // Nothing is begun on old news: another controller may have confirmed the job's cancellation since.
           if (via == Source::report && attempt.answeredAt == 0) attempt.answeredAt = tally;
           rest.push_back(order);
@@ -624,7 +638,12 @@
     const double ranS =
         attempt.phase == AttemptPhase::running ? wire::toSeconds(context_.now - attempt.runningSince) : 0;
     const bool finishes = !attempt.daemon && attempt.phase == AttemptPhase::running && expectS - ranS < leftS;
-    if (!finishes) stop(machine, attempt, attempt.saves ? attempt.stowS + 1 : 0);
+    if (finishes) continue;
+    if (attempt.gang) {
+      stopGang(attempt.task.job.text, leftS, "spot notice");
+    } else {
+      stop(machine, attempt, attempt.saves ? attempt.stowS + 1 : 0);
+    }
   }
 }
 
--- a/src/service/users.cpp
+++ b/src/service/users.cpp
@@ -11,8 +11,9 @@
 constexpr std::chrono::milliseconds kPatience{1500};  // a submission is answered by then: 503 if need be
 }  // namespace
 
-Users::Users(Context& context, state::Feed& feed, jobs::JobTable& jobs, Applied applied)
-    : context_(context), feed_(feed), jobs_(jobs), applied_(std::move(applied)) {}
+Users::Users(Context& context, state::Feed& feed, jobs::JobTable& jobs, const cluster::Leadership& leadership,
+             Applied applied)
+    : context_(context), feed_(feed), jobs_(jobs), leadership_(leadership), applied_(std::move(applied)) {}
 
 Json Users::shown(const jobs::Job& job) const {
   std::uint32_t done = job.tasks.empty() ? job.shownDone : job.completed;
@@ -62,7 +63,7 @@
                          : !rig.yards.empty();
       });
   if (!fits) return "a task fits no allowed machine type";
-  const double atOnce = spec.shape == wire::Shape::daemon ? spec.loads : 1;
+  const double atOnce = spec.shape == wire::Shape::sweep ? 1 : spec.loads;
   if ((team->cpusMax > 0 && spec.each.vcpus * atOnce > team->cpusMax + 1e-6) ||
       (team->gpusMax > 0 && spec.each.accelerators * atOnce > team->gpusMax + 1e-6))
     return "needs more than the team's limit";
@@ -89,6 +90,11 @@
                             [&](const wire::RigType& rig) { return rig.label == label; });
       });
     }
+    jobs::Job probe;
+    probe.spec = *spec;
+    if (static_cast<double>(jobs::encodeOpen(probe).dump().size()) >
+        context_.settings.stateValueKb * 1024 * constants::kValueFill)
+      return refuse(request, ref, 422, "too large to be stored");
     Submission& submission = submissions_[ref];
     const bool fresh = submission.requests.empty();
     submission.requests.push_back(request);
@@ -99,8 +105,11 @@
     }
     return sendSubmissions();
   }
-  const int status = spec ? 422 : 400;
-  const std::string reason = spec ? *why : spec.reason();
+  refuse(request, ref, spec ? 422 : 400, spec ? *why : spec.reason());
+}
+
+void Users::refuse(std::uint64_t request, const std::string& ref, int status, const std::string& reason) {
+  // Unless another controller knows the job.
   feed_.confirm(context_.now, [this, request, ref, status, reason](bool ok) {
     if (!ok) return context_.later(request);
     if (jobs_.find(ref) != nullptr) return answerKnown(request, ref);
@@ -115,10 +124,25 @@
     std::vector<std::string> refs;
     std::vector<Json> records;
     std::size_t bytes = 0;
-    while (!queue_.empty() && refs.size() < context_.settings.stateTxnOps && bytes < kBatchBytes) {
+    bool raised = false;
+    while (!queue_.empty() && transaction.writes.size() < context_.settings.stateTxnOps &&
+           bytes < kBatchBytes) {
       const std::string ref = queue_.front();
-      queue_.pop_front();
       const auto found = submissions_.find(ref);
+      if (found != submissions_.end() && found->second.spec.shape == wire::Shape::gang &&
+          !leadership_.layoutRaised() && !raised) {
+        const auto fence = leadership_.raiseLayout();
+        if (!fence || transaction.writes.size() + 2 > context_.settings.stateTxnOps) {
+          if (!transaction.writes.empty()) break;
+          queue_.pop_front();
+          giveUp(ref);  // no term is known yet
+          continue;
+        }
+        transaction.conditions.push_back(fence->first);
+        transaction.writes.push_back(fence->second);
+        raised = true;
+      }
+      queue_.pop_front();
       if (found == submissions_.end()) continue;
       jobs::Job job;
       job.spec = found->second.spec;
@@ -160,6 +184,10 @@
   if (result.status == 409) {
     // Some were accepted before, perhaps by another controller; the others go out again without them.
     const Json* failed = wire::field(result.body, "failed");
+    // The term's record had moved: the feed tells within moments.
+    if (failed != nullptr &&
+        std::find(failed->begin(), failed->end(), Json(cluster::kTermKey)) != failed->end())
+      resumeAt_ = context_.now + constants::kTick;
     for (const std::string& ref : refs) {
       const bool known = failed != nullptr && failed->is_array() &&
                          std::find(failed->begin(), failed->end(), Json(jobs::jobKey(ref))) != failed->end();
--- a/src/service/users.hpp
+++ b/src/service/users.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "cluster/leadership.hpp"
 #include "jobs/jobs.hpp"
 #include "service/context.hpp"
 #include "state/feed.hpp"
@@ -18,7 +19,9 @@
   // Told of every job that this controller itself made known or ended.
   using Applied = std::function<void(jobs::JobTable::Change, const std::string& ref)>;
 
-  Users(Context& context, state::Feed& feed, jobs::JobTable& jobs, Applied applied);
+  // The leadership tells how the first gang fences off versions that can't read it.
+  Users(Context& context, state::Feed& feed, jobs::JobTable& jobs, const cluster::Leadership& leadership,
+        Applied applied);
 
   void submit(std::uint64_t request, const std::string& body);
   void query(std::uint64_t request, const std::string& ref);
@@ -37,6 +40,7 @@
   Json brief(const jobs::Job& job) const;
   void answerKnown(std::uint64_t request, const std::string& ref);
   std::optional<std::string> cannotRun(const wire::JobSpec& spec) const;
+  void refuse(std::uint64_t request, const std::string& ref, int status, const std::string& reason);
   void sendSubmissions();
   void onSubmissions(const std::vector<std::string>& refs, const std::vector<Json>& records,
                      const wire::CallResult& result);
@@ -46,6 +50,7 @@
   Context& context_;
   state::Feed& feed_;
   jobs::JobTable& jobs_;
+  const cluster::Leadership& leadership_;
   Applied applied_;
   std::map<std::string, Submission> submissions_;
   std::deque<std::string> queue_;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -155,13 +155,13 @@
   std::string reason_;
 };
 
-std::optional<LoadStage> loadStage(const std::string& text) {
+LoadStage loadStage(const std::string& text) {
   if (text == "pulling") return LoadStage::pulling;
   if (text == "waiting") return LoadStage::waiting;
   if (text == "running") return LoadStage::running;
   if (text == "saving") return LoadStage::saving;
   if (text == "ended") return LoadStage::ended;
-  return std::nullopt;
+  return LoadStage::unfamiliar;
 }
 
 std::string_view name(LoadStage stage) {
@@ -176,19 +176,21 @@
       return "saving";
     case LoadStage::ended:
       return "ended";
+    case LoadStage::unfamiliar:
+      return "unfamiliar";
   }
   return "ended";
 }
 
 constexpr std::pair<Cause, std::string_view> kCauses[] = {
     {Cause::done, "done"},      {Cause::halted, "halted"}, {Cause::error, "error"},
-    {Cause::noRoom, "no_room"}, {Cause::inUse, "in_use"},  {Cause::unknown, "unknown"}};
+    {Cause::noRoom, "no_room"}, {Cause::inUse, "in_use"},  {Cause::unknown, "unknown"},
+    {Cause::peers, "peers"},    {Cause::alone, "alone"}};
 
-// An ended task with a cause of a later protocol counts as failed: it ended, and not with `done`.
-Cause cause(const std::string& text) {
+std::optional<Cause> cause(const std::string& text) {
   for (const auto& [value, label] : kCauses)
     if (label == text) return value;
-  return Cause::error;
+  return std::nullopt;
 }
 
 std::string_view name(Cause value) {
@@ -309,6 +311,8 @@
     job.shape = Shape::sweep;
   } else if (shape == "daemon") {
     job.shape = Shape::daemon;
+  } else if (shape == name(Shape::gang)) {
+    job.shape = Shape::gang;
   } else {
     fields.complain("shape");
   }
@@ -369,15 +373,19 @@
       LoadState load;
       const auto id = parseTaskId(textField(entry, "load").value_or(""));
       const auto attempt = countField(entry, "try");
-      const auto stage = loadStage(textField(entry, "stage").value_or(""));
+      const auto stage = textField(entry, "stage");
       if (!id || !attempt || !stage) {
         fields.complain("loads");
         break;
       }
       load.load = *id;
       load.attempt = *attempt;
-      load.stage = *stage;
-      if (load.stage == LoadStage::ended) load.cause = cause(textField(entry, "cause").value_or(""));
+      load.stage = loadStage(*stage);
+      if (load.stage == LoadStage::ended) {
+        const auto why = cause(textField(entry, "cause").value_or(""));
+        if (!why) load.stage = LoadStage::unfamiliar;
+        load.cause = why.value_or(Cause::none);
+      }
       load.stored = flagField(entry, "stored").value_or(false);
       report.loads.push_back(std::move(load));
     }
--- a/src/wire/types.cpp
+++ b/src/wire/types.cpp
@@ -28,7 +28,17 @@
   return id;
 }
 
-std::string_view name(Shape shape) { return shape == Shape::sweep ? "sweep" : "daemon"; }
+std::string_view name(Shape shape) {
+  switch (shape) {
+    case Shape::sweep:
+      return "sweep";
+    case Shape::daemon:
+      return "daemon";
+    case Shape::gang:
+      return "ensemble";
+  }
+  return "sweep";
+}
 
 std::string_view name(Rank rank) {
   switch (rank) {
--- a/src/wire/types.hpp
+++ b/src/wire/types.hpp
@@ -29,7 +29,8 @@
 std::optional<TaskId> parseTaskId(std::string_view text);
 bool validJobRef(std::string_view text);
 
-enum class Shape { sweep, daemon };
+// gang: all tasks run at the same time or none does; the wire calls it `ensemble`.
+enum class Shape { sweep, daemon, gang };
 enum class Rank { best_effort, standard, high, prod };
 enum class Stage { pending, running, done, cancelled };
 std::string_view name(Shape shape);
@@ -71,8 +72,10 @@
   bool allowsRig(std::string_view rig) const;
 };
 
-enum class LoadStage { pulling, waiting, running, saving, ended };
-enum class Cause { none, done, halted, error, noRoom, inUse, unknown };
+// unfamiliar: a state or cause of a later protocol. The task counts as still there.
+enum class LoadStage { pulling, waiting, running, saving, ended, unfamiliar };
+// peers, alone: a gang's task whose gang lost another task, or was not complete in time.
+enum class Cause { none, done, halted, error, noRoom, inUse, unknown, peers, alone };
 
 struct LoadState {
   TaskId load;
--- a/tests/standin/state_service.hpp
+++ b/tests/standin/state_service.hpp
@@ -31,6 +31,21 @@
   void deny(const std::string& node, double seconds) { deniedUntil_[node] = sim_.now() + seconds; }
   // Called for each key that a transaction has just written.
   std::function<void(const std::string& from, const std::string& key)> onApplied;
+  // Lower limits from now on, without notice.
+  void lower(double valueKb, std::size_t txnOps, double writeRps) {
+    limits_.valueKb = valueKb;
+    limits_.txnOps = txnOps;
+    writes_.set(writeRps, writeRps);
+  }
+  void put(const std::string& key, const Json& value) {
+    entries_[key] = Entry{value, ++ledger_, 0};
+    record(key, &value);
+  }
+  Json value(const std::string& key) const {
+    const auto found = entries_.find(key);
+    return found == entries_.end() ? Json::object() : found->second.value;
+  }
+  std::size_t refusedBySize() const { return tooLarge_; }
   std::size_t refusedByLimit() const { return refused_; }
   std::size_t requests() const { return served_; }
   std::size_t changes() const { return changed_; }
@@ -72,6 +87,7 @@
   reachhoist::state::Budget requests_;
   reachhoist::state::Budget writes_;
   std::size_t refused_ = 0;
+  std::size_t tooLarge_ = 0;
   std::size_t served_ = 0;
   std::size_t changed_ = 0;
 };
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -39,6 +39,9 @@
   void boot();
   void kill();
   void hang(double seconds);
+  // A gang's task: its state changes, or it ends, unless it has ended already.
+  void setStage(const wire::TaskId& task, std::uint64_t attempt, const std::string& stage);
+  void endTask(const wire::TaskId& task, std::uint64_t attempt, const std::string& cause, bool stored);
   void notice(double seconds) {
     recallS_ = seconds;
     changed();
@@ -72,6 +75,7 @@
     std::uint64_t epoch = 0;
   };
   using Key = std::pair<wire::TaskId, std::uint64_t>;
+  static bool onMachine(const Load& load);
   void live(double delay,
             std::function<void()> action);  // runs only while this machine lives, and not while hung
   void changed();
@@ -183,6 +187,12 @@
   // --- the clocks of controllers and workers
   reachhoist::wire::Time clock() const;
   double workerS(double trueS) const { return trueS * (1 - drift); }
+  // --- gangs, as the protocol describes them; each attempt is followed as one
+  void gangReady(Worker& worker, const wire::TaskId& task, std::uint64_t attempt);
+  void gangGone(const wire::TaskId& task, std::uint64_t attempt);
+  void gangHalted(const wire::TaskId& task, std::uint64_t attempt, double graceS);
+  std::size_t gangStarts = 0;  // attempts of which all tasks ran
+  std::size_t gangSaves = 0;   // orderly stops that saved
   // A task has just completed.
   void taskCompleted(const wire::TaskId& task);
 
@@ -211,6 +221,19 @@
   void callCloud(const wire::Call& call, const std::function<void(wire::CallResult)>& done);
   Json cloudList() const;
   bool isolated(const Node& node) const;
+  struct GangRun {
+    std::map<std::uint32_t, Worker*> members;  // waiting or running, by task
+    double startedAt = -1;                     // all run; -1: not yet
+    double firstHaltAt = -1;
+    std::set<std::uint32_t> told;
+    bool over = false;  // failed, saved or done: what is left of it exits
+  };
+  void gangEnds(const std::string& ref, std::uint64_t attempt, double inS);
+  void gangFails(const std::string& ref, std::uint64_t attempt);
+  void gangSaved(const std::string& ref, std::uint64_t attempt);
+  double gangProgress(const std::string& ref, const GangRun& run) const;
+  std::map<std::pair<std::string, std::uint64_t>, GangRun> gangs_;
+  std::map<std::string, double> gangSaved_;  // progress that is safe
   void watchWaiting();
   void deliverKept(const std::string& body);
   bool roomFor(const wire::JobSpec& spec) const;
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -39,6 +39,23 @@
   EXPECT_GT(settings.leaseOver().count(), settings.leaseS * 1000 + 1000);
 }
 
+TEST(Platform, AnnouncedLimitsHoldFromTheStart) {
+  Json file = good();
+  file["facts"]["state"]["next"] = {{"value_kb", 2}, {"txn_ops", 4}, {"rps", 900}};
+  Settings settings;
+  ASSERT_FALSE(parsePlatform(file.dump(), settings));
+  EXPECT_EQ(settings.stateValueKb, 2);
+  EXPECT_EQ(settings.stateTxnOps, 4U);
+  EXPECT_EQ(settings.stateRps, 200);  // the smaller of both
+  EXPECT_EQ(settings.stateWriteRps, 40);
+  EXPECT_EQ(settings.partsAtFirst, 3U);  // as without the announcement: every version must come to the same
+  EXPECT_EQ(settings.gangWaitS, 40);
+  file["facts"]["state"]["next"] = nullptr;
+  Settings same;
+  ASSERT_FALSE(parsePlatform(file.dump(), same));
+  EXPECT_EQ(same.stateTxnOps, 16U);
+}
+
 TEST(Platform, SocketsAreSharedOut) {
   for (const unsigned sockets : {240U, 1000U, 2873U, 60000U}) {
     Json file = good();
@@ -68,6 +85,11 @@
       {"/endpoints/state", "", "endpoints.state"},
       {"/facts/workers/lease_s", "long", "facts.workers.lease_s"},
       {"/facts/workers/lease_s", 41, "facts.workers.cancel_s"},
+      {"/facts/workers/gang_wait_s", "long", "facts.workers.gang_wait_s"},
+      {"/facts/state/next", 3, "facts.state.next"},
+      {"/facts/state/next", Json{{"txn_ops", 1.5}}, "facts.state.next.txn_ops"},
+      {"/facts/state/next", Json{{"value_kb", "2"}}, "facts.state.next.value_kb"},
+      {"/facts/state/next", Json{{"rps", true}}, "facts.state.next.rps"},
       {"/facts/state/txn_ops", 2, "facts.state.txn_ops"},
       {"/facts/teams/0/cpus_max", -1, "facts.teams[0].cpus_max"},
       {"/facts/limits/max_connections", 10, "facts.limits.max_connections"},
