--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -151,7 +151,9 @@
 
   static bool before(const Turn& a, const Turn& b) {
     if (a.tier != b.tier) return a.tier < b.tier;
-    if (a.tier == Tier::ranked && a.job->spec.rank != b.job->spec.rank)
+    // Wherever one may stop another for its rank it also goes first: else the room it made would be taken by
+    // the one that was stopped, round after round.
+    if (a.tier <= Tier::overlooked && a.job->spec.rank != b.job->spec.rank)
       return a.job->spec.rank > b.job->spec.rank;
     if (a.latestStart != b.latestStart) return a.latestStart < b.latestStart;
     return a.job->acceptedMs < b.job->acceptedMs;
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -3,6 +3,7 @@
 
 #include "machines/pages.hpp"
 #include "placement/aims.hpp"
+#include "placement/planner.hpp"
 
 namespace {
 
@@ -108,4 +109,140 @@
   EXPECT_EQ(placement::nextCall(job, settings, 1000).latestStartMs, 101'000);
 }
 
+// A world of one machine and a few jobs, for plans.
+struct PlanWorld {
+  config::Settings settings;
+  MachineTable table;
+  std::vector<std::unique_ptr<jobs::Job>> jobs;
+  wire::Time now = wire::Time{} + std::chrono::hours(1);
+
+  PlanWorld() { settings.teams = {{"t", 16, 0, 0, 0}, {"u", 16, 0, 0, 0}}; }
+  Machine& up(const std::string& host, double cpus, const std::string& yard = "a") {
+    Machine& out = table.add(host);
+    out.rig = "small";
+    out.yard = yard;
+    out.total = {cpus, 0, 64};
+    out.phase = machines::MachinePhase::up;
+    out.echoed = true;
+    out.lastHeard = now;
+    return out;
+  }
+  jobs::Job& job(const std::string& ref, wire::Shape shape, wire::Rank rank, std::uint32_t loads,
+                 std::int64_t acceptedMs) {
+    auto& out = *jobs.emplace_back(std::make_unique<jobs::Job>());
+    out.spec.ref.text = ref;
+    out.spec.crew = "t";
+    out.spec.shape = shape;
+    out.spec.rank = rank;
+    out.spec.loads = loads;
+    out.spec.each = {2, 0, 2};
+    out.acceptedMs = acceptedMs;
+    out.beginOwning(now);
+    return out;
+  }
+  placement::Plan plan() {
+    placement::World world{settings, now, 100'000, {}, {}, {}};
+    for (auto& job : jobs) {
+      world.open.push_back(job.get());
+      if (job->waiting > 0) world.jobs.push_back(job.get());
+    }
+    for (auto& [host, machine] : table.all()) world.machines.push_back(&machine);
+    return placement::plan(world);
+  }
+};
+
+// Of two jobs within their guarantees the older, less important one was placed first and then stopped for the
+// other, round after round.
+TEST(Plan, WhoMayStopAnotherGoesFirst) {
+  PlanWorld world;
+  world.up("vm-1", 2);
+  world.job("job-1", wire::Shape::sweep, wire::Rank::best_effort, 1, 1'000);
+  world.job("job-2", wire::Shape::sweep, wire::Rank::standard, 1, 50'000);
+  const auto plan = world.plan();
+  ASSERT_EQ(plan.assignments.size(), 1U);
+  EXPECT_EQ(plan.assignments[0].job->spec.ref.text, "job-2");
+}
+
+TEST(Plan, AGangIsPlacedWholeOrNotAtAll) {
+  PlanWorld world;
+  world.up("vm-1", 4, "a");
+  world.up("vm-2", 4, "b");
+  jobs::Job& gang = world.job("job-1", wire::Shape::gang, wire::Rank::standard, 3, 1'000);
+  gang.spec.oneZone = true;
+  auto plan = world.plan();
+  EXPECT_TRUE(plan.assignments.empty());
+  ASSERT_EQ(plan.unmet.size(), 1U);
+  EXPECT_EQ(plan.unmet[0].tasks, 3U);
+  world.up("vm-3", 2, "b");
+  plan = world.plan();
+  ASSERT_EQ(plan.assignments.size(), 3U);
+  for (const auto& assignment : plan.assignments) EXPECT_EQ(assignment.machine->yard, "b");
+}
+
+TEST(Plan, AGangWaitsUntilNothingOfAnEarlierAttemptIsLeft) {
+  PlanWorld world;
+  world.up("vm-1", 8);
+  Machine& other = world.up("vm-2", 8);
+  world.job("job-000412", wire::Shape::gang, wire::Rank::standard, 2, 1'000);
+  other.attempts.push_back(attempt(0, 7));
+  other.attempts[0].phase = AttemptPhase::running;
+  other.attempts[0].stopWanted = true;
+  EXPECT_TRUE(world.plan().assignments.empty());
+  other.attempts[0].phase = AttemptPhase::ended;
+  EXPECT_EQ(world.plan().assignments.size(), 2U);
+}
+
+TEST(Plan, RoomIsHeldForAGangAndNothingIsStoppedInVain) {
+  PlanWorld world;
+  world.up("vm-1", 4);
+  Machine& busy = world.up("vm-2", 2);
+  jobs::Job& gang = world.job("job-1", wire::Shape::gang, wire::Rank::high, 3, 1'000);
+  world.job("job-2", wire::Shape::sweep, wire::Rank::best_effort, 4, 2'000);
+  busy.attempts.push_back(attempt(0, 7));
+  busy.attempts[0].each = {2, 0, 2};
+  busy.attempts[0].crew = std::string("u");
+  busy.attempts[0].rank = wire::Rank::best_effort;
+  busy.attempts[0].phase = AttemptPhase::running;
+  auto plan = world.plan();
+  // Two seats are held, the third is made: the array gets none of them.
+  EXPECT_TRUE(plan.assignments.empty());
+  ASSERT_EQ(plan.stops.size(), 1U);
+  EXPECT_EQ(plan.stops[0].attempt, 7U);
+  // Where even all that may be stopped is not enough, nothing is.
+  gang.spec.loads = 4;
+  gang.beginOwning(world.now);
+  EXPECT_TRUE(world.plan().stops.empty());
+  // And the room is not held for ever.
+  gang.waitingSince = world.now - constants::kGangHold - std::chrono::seconds(1);
+  EXPECT_EQ(world.plan().assignments.size(), 2U);
+}
+
+// A page from before the limits fell: it moves on in steps, each of which may be written.
+TEST(Pages, AnOversizedOneMovesOnInSteps) {
+  MachineTable table;
+  PageTable pages(1740);
+  for (int host = 0; host < 60; ++host) {
+    Machine& one = machine(table, "vm-" + std::to_string(100000 + host));
+    for (std::uint32_t i = 0; i < 3; ++i) {
+      Attempt next = attempt(static_cast<std::uint32_t>(host) * 3 + i, 1'048'577);
+      next.paged = 5;
+      one.attempts.push_back(next);
+    }
+  }
+  pages.loaded(5, 3, {});
+  int rounds = 0;
+  for (bool written = false; !written && rounds < 20; ++rounds) {
+    pages.weigh(table);
+    std::set<std::uint32_t> round;
+    written = pages.shrink(table, 5, round, 4);
+    if (written) round.insert(5);
+    ASSERT_LE(round.size(), 4U);
+    ASSERT_FALSE(round.empty());
+    for (const auto& [number, value] : pages.encode(table, round))
+      EXPECT_LE(value.dump().size(), 1740U) << number;
+  }
+  EXPECT_GT(rounds, 1);
+  EXPECT_LT(rounds, 20);
+}
+
 }  // namespace
