--- /dev/null
+++ b/tests/unit/leadership_test.cpp
@@ -0,0 +1,124 @@
+// Elections: which layouts may be led over, and how parts are taken that don't fit one transaction.
+#include "cluster/leadership.hpp"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace reachhoist;
+using wire::Json;
+
+wire::Time at(double s) { return wire::Time{} + std::chrono::hours(1) + wire::seconds(s); }
+
+// A controller's side of an election, with the state service's answers given by hand.
+struct Candidate {
+  config::Settings settings;
+  wire::Calls calls;
+  state::Client client{calls, settings};
+  std::optional<std::uint64_t> refused;
+  std::vector<std::uint64_t> stamps;
+  std::unique_ptr<cluster::Leadership> leadership;
+
+  Candidate(unsigned parts, unsigned ops) {
+    settings.label = "hoist-0";
+    settings.partsAtFirst = parts;
+    settings.stateTxnOps = ops;
+    leadership = std::make_unique<cluster::Leadership>(
+        client, settings, 1,
+        cluster::Leadership::Handlers{[this](std::uint64_t, const auto& given) { stamps = given; },
+                                      [](const char*) {},
+                                      [this](std::uint64_t layout) { refused = layout; }});
+  }
+  // Answers what is asked, but for watches, up to the given transaction; returns that.
+  std::optional<wire::Call> until(const std::string& path, const Json& listing) {
+    for (int step = 0; step < 60; ++step) {
+      now += 0.1;
+      leadership->tick(at(now));
+      client.pump(at(now));
+      for (wire::Call& call : calls.drain()) {
+        if (call.path == path) return call;
+        if (call.path.starts_with("/keys?")) {
+          calls.complete(call.number, wire::CallResult{200, true, listing});
+        } else if (call.path == "/leases") {
+          calls.complete(call.number, wire::CallResult{200, true, Json{{"permit", 7}}});
+        }
+      }
+    }
+    return std::nullopt;
+  }
+  double now = 0;
+};
+
+Json listing(std::uint64_t layout) {
+  return Json{{"pairs", Json::array({Json{{"key", "leader-term"},
+                                          {"value", {{"term", 4}, {"parts", 5}, {"layout", layout}}},
+                                          {"stamp", 9}}})},
+              {"more", false},
+              {"ledger", 9}};
+}
+
+TEST(Leadership, LeadsOverBothLayoutsAndKeepsTheHigher) {
+  for (const std::uint64_t layout : {constants::kLayout, constants::kLayoutGangs}) {
+    Candidate candidate(3, 12);
+    candidate.leadership->start(at(0));
+    const auto campaign = candidate.until("/multi", listing(layout));
+    ASSERT_TRUE(campaign);
+    const Json& writes = campaign->body["apply"];
+    ASSERT_EQ(writes.size(), 7U);  // the parts of the first start, whatever the settings say now
+    EXPECT_EQ(writes[1]["value"], (Json{{"term", 5}, {"parts", 5}, {"layout", layout}}));
+    EXPECT_EQ(candidate.leadership->layoutRaised(), layout == constants::kLayoutGangs);
+  }
+}
+
+TEST(Leadership, NeverLeadsOverALaterLayout) {
+  Candidate candidate(3, 12);
+  candidate.leadership->start(at(0));
+  EXPECT_FALSE(candidate.until("/multi", listing(constants::kLayoutGangs + 1)));
+  EXPECT_EQ(candidate.refused, constants::kLayoutGangs + 1);
+}
+
+// Seven writes where four are allowed were refused for ever.
+TEST(Leadership, TakesPartsInFurtherTransactionsOfTheSameTerm) {
+  Candidate candidate(5, 4);
+  candidate.leadership->start(at(0));
+  const auto campaign = candidate.until("/multi", listing(constants::kLayout));
+  ASSERT_TRUE(campaign);
+  EXPECT_EQ(campaign->body["apply"].size(), 2U);
+  candidate.calls.complete(campaign->number, wire::CallResult{200, true, Json{{"ledger", 20}}});
+  EXPECT_FALSE(candidate.leadership->leading());
+  auto part = candidate.until("/multi", {});
+  ASSERT_TRUE(part);
+  EXPECT_EQ(part->body["apply"].size(), 4U);
+  EXPECT_EQ(part->body["if"], Json::array({Json{{"key", "leader-term"}, {"stamp", 20}}}));
+  // Refused for its rate: the same again.
+  candidate.calls.complete(part->number, wire::CallResult{429, true, Json::object()});
+  part = candidate.until("/multi", {});
+  ASSERT_TRUE(part);
+  EXPECT_EQ(part->body["apply"].size(), 4U);
+  candidate.calls.complete(part->number, wire::CallResult{200, true, Json{{"ledger", 21}}});
+  EXPECT_FALSE(candidate.leadership->leading());
+  part = candidate.until("/multi", {});
+  ASSERT_TRUE(part);
+  EXPECT_EQ(part->body["apply"].size(), 1U);
+  candidate.calls.complete(part->number, wire::CallResult{200, true, Json{{"ledger", 22}}});
+  EXPECT_TRUE(candidate.leadership->leading());
+  EXPECT_EQ(candidate.stamps, (std::vector<std::uint64_t>{21, 21, 21, 21, 22}));
+}
+
+// It may be carried out later and move the stamps that the owner's writes depend on.
+TEST(Leadership, ALostAnswerAboutPartsBeginsTheNextTerm) {
+  Candidate candidate(5, 4);
+  candidate.leadership->start(at(0));
+  const auto campaign = candidate.until("/multi", listing(constants::kLayout));
+  ASSERT_TRUE(campaign);
+  candidate.calls.complete(campaign->number, wire::CallResult{200, true, Json{{"ledger", 20}}});
+  const auto part = candidate.until("/multi", {});
+  ASSERT_TRUE(part);
+  candidate.calls.complete(part->number, wire::CallResult{0, true, {}});
+  const auto again = candidate.until("/multi", {});
+  ASSERT_TRUE(again);
+  EXPECT_EQ(again->body["apply"][1]["value"]["term"], 6);
+  EXPECT_EQ(again->body["if"][1], (Json{{"key", "leader-term"}, {"stamp", 20}}));
+}
+
+}  // namespace
