--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -114,6 +114,7 @@
 inline constexpr std::uint32_t kOverlookedShare = 8;  // an overlooked job gets this part of its tasks at once
 inline constexpr milliseconds kGangHold = 60s;  // broken-up room is held for a gang this long: two boots
 inline constexpr std::size_t kGangsHeld = 8;    // gangs at once, so that arrays keep most of what comes free
+inline constexpr double kNoHurryS = 1e9;  // s; a stop that nothing presses: a gang has all the time it needs
 inline constexpr milliseconds kGangRetry = 500ms;    // after an attempt that failed; doubles
 inline constexpr milliseconds kGangRetryMost = 15s;  // longest pause between attempts of a gang
 inline constexpr std::uint32_t kDoneChunk = 4096;    // tasks per done key: 1 KiB of hex, below any limit
--- a/src/service/owner_fleet.cpp
+++ b/src/service/owner_fleet.cpp
@@ -5,10 +5,6 @@
 
 namespace reachhoist::service {
 
-namespace {
-constexpr double kNoHurryS = 1e9;  // nobody takes the machine away
-}  // namespace
-
 void Owner::describe(Machine& machine) {
   if (!context_.catalog) return;
   for (const wire::RigType& rig : *context_.catalog) {
@@ -98,7 +94,7 @@
   for (Attempt& attempt : machine.attempts) {
     if (gently && !attempt.daemon) continue;
     if (attempt.gang) {
-      stopGang(attempt.task.job.text, kNoHurryS, why);
+      stopGang(attempt.task.job.text, constants::kNoHurryS, why);
     } else {
       stop(machine, attempt, attempt.saves ? attempt.stowS + 1 : 0);
     }
--- a/src/service/owner_rounds.cpp
+++ b/src/service/owner_rounds.cpp
@@ -6,10 +6,6 @@
 
 namespace reachhoist::service {
 
-namespace {
-constexpr double kNoHurryS = 1e9;  // room is made for others, and the gang may save first
-}  // namespace
-
 void Owner::refusedBy(const state::Outcome& outcome, const char* what) {
   for (const std::string& key : outcome.failed) {
     if (key.starts_with("jobs/")) {
@@ -174,7 +170,7 @@
       context_.event(Level::info, "preempt",
                      {{"task", order.task.str()}, {"machine", order.machine->host.text}});
       if (attempt->gang) {
-        stopGang(attempt->task.job.text, kNoHurryS, "preempted");
+        stopGang(attempt->task.job.text, constants::kNoHurryS, "preempted");
       } else {
         stop(*order.machine, *attempt, order.windDownS);
       }
