--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -93,6 +93,7 @@
     if (std::getenv("SCENARIO_LOG") != nullptr)
       world.log = [](const std::string& line) { std::cout << line << "\n"; };
     world.start();
+    if (!records_.empty()) world.inherit(readJson(records_));
     for (const Line& line : steps) schedule(world, line);
     world.sim.runUntil(end_);
     world.checker.finish();
@@ -134,6 +135,8 @@
     } else if (what == "gang") {
       settings_.gangWaitS = options.number("wait", settings_.gangWaitS);
       settings_.gangPeerS = options.number("peer", settings_.gangPeerS);
+    } else if (what == "records") {
+      records_ = fs::path(FIXTURE_DIR) / words.at(1) / "state.json";
     } else if (what == "parts") {
       settings_.partsAtFirst = static_cast<unsigned>(std::stoul(words.at(1)));
     } else if (what == "state") {
@@ -406,7 +409,13 @@
     }
   }
 
+  static Json readJson(const fs::path& path) {
+    std::ifstream in(path);
+    return Json::parse(in);
+  }
+
   std::vector<Line> lines_;
+  fs::path records_;  // of another version, found in the state service at the start
   reachhoist::config::Settings settings_;
   std::vector<RigSpec> rigs_;
   standin::StateService::Limits limits_;
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -123,6 +123,8 @@
   void submit(const JobPlan& plan);
   void abort(const std::string& ref);
   void poll(const std::string& ref);
+  // Begins with the records that another version of the service left, and machines that run what they place.
+  void inherit(const Json& records);
   Worker* workerRunning(const std::string& ref);
   // Every nth machine hangs for that long, or dies.
   void lose(std::size_t nth, double hangS);
@@ -234,6 +236,11 @@
   double gangProgress(const std::string& ref, const GangRun& run) const;
   std::map<std::pair<std::string, std::uint64_t>, GangRun> gangs_;
   std::map<std::string, double> gangSaved_;  // progress that is safe
+  static constexpr double kInheritedAgeS = 60;
+  void inheritJob(const std::string& ref, const Json& value);
+  void inheritProgress(const std::string& rest, const Json& value);
+  void inheritCompletion(const wire::TaskId& task);
+  void inheritMachines(const Json& records);
   void watchWaiting();
   void deliverKept(const std::string& body);
   bool roomFor(const wire::JobSpec& spec) const;
