--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -176,9 +176,11 @@
 inline constexpr milliseconds kVacateEvery = 2s;     // a machine is vacated in about one second
 inline constexpr milliseconds kVacateAge = 60s;  // of machine (paid so long anyway) and of the services on it
 inline constexpr std::size_t kVacateDivisor =
-    32;                                      // of a pool: so many leave at once, so that few services move
-inline constexpr double kVacateKeep = 2.0;   // machines' worth of room that stays free: one may be lost
-inline constexpr double kVacateUsed = 0.6;   // more used than this, moving costs more than it saves
+    32;                                     // of a pool: so many leave at once, so that few services move
+inline constexpr double kVacateKeep = 2.0;  // machines' worth of room that stays free: one may be lost
+inline constexpr double kVacateUsed = 0.6;  // more used than this, moving costs more than it saves
+inline constexpr double kReserveShare =
+    0.09;  // of the CPUs that services and gangs use, free on ordinary machines for the length of a boot
 inline constexpr double kSpareShare = 0.12;  // of the rooms used by prod work, kept free for its next
 
 }  // namespace reachhoist::constants
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -269,6 +269,7 @@
     {"probe_floor", 0, 1, &Operators::probeFloor, nullptr},
     {"episodes", 1, 100, nullptr, &Operators::episodes},
     {"spare_share", 0, 2, &Operators::spareShare, nullptr},
+    {"reserve_share", 0, 2, &Operators::reserveShare, nullptr},
     {"idle_return_s", 5, 3600, &Operators::idleReturnS, nullptr},
 };
 
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -43,6 +43,7 @@
   double probeFloor = 0.05;
   int episodes = 15;
   double spareShare = constants::kSpareShare;
+  double reserveShare = constants::kReserveShare;
   double idleReturnS = 45;
 };
 
--- /dev/null
+++ b/src/fleet/coming.cpp
@@ -0,0 +1,92 @@
+#include "fleet/coming.hpp"
+
+#include <string_view>
+#include <unordered_map>
+
+namespace reachhoist::fleet {
+
+double price(const wire::RigType& rig, bool loaners) { return loaners ? rig.marketPrice : rig.rate; }
+
+bool counts(const Machine& machine) {
+  return machine.phase == machines::MachinePhase::booting || machine.phase == machines::MachinePhase::up;
+}
+
+std::vector<std::pair<PoolKey, const wire::RigType*>> allPools(const std::vector<wire::RigType>& catalog) {
+  std::vector<std::pair<PoolKey, const wire::RigType*>> out;
+  for (const wire::RigType& rig : catalog) {
+    for (const std::string& yard : rig.yards) {
+      out.push_back({PoolKey{rig.label, yard, false}, &rig});
+      out.push_back({PoolKey{rig.label, yard, true}, &rig});
+    }
+  }
+  return out;
+}
+
+std::vector<Coming> comingMachines(const FleetWorld& world) {
+  std::vector<Coming> out;
+  for (const Machine* machine : world.machines) {
+    const PoolKey key{machine->rig, machine->yard, machine->loaners};
+    if (machine->phase == machines::MachinePhase::booting) {
+      out.push_back(Coming{key, machine->total});
+    } else if (machine->phase == machines::MachinePhase::up && !machine->echoed && !machine->recallAt) {
+      out.push_back(Coming{key, machine->room()});
+    }
+  }
+  for (const auto& [key, rig] : allPools(world.catalog)) {
+    const auto found = world.pending.find(key);
+    for (std::size_t i = 0; found != world.pending.end() && i < found->second; ++i)
+      out.push_back(Coming{key, rig->room});
+  }
+  return out;
+}
+
+void fill(Queued& queued, Coming& machine) {
+  const wire::JobSpec& spec = queued.unmet.job->spec;
+  if (!placement::allows(spec, machine.pool.rig, machine.pool.yard, machine.pool.loaners)) return;
+  while (queued.unmet.tasks > 0 && spec.each.fitsIn(machine.room) &&
+         placement::zoneAllows(spec, queued.byZone, machine.pool.yard)) {
+    machine.room -= spec.each;
+    ++queued.byZone[machine.pool.yard];
+    --queued.unmet.tasks;
+  }
+}
+
+bool lost(const FleetWorld& world, const Machine& machine) {
+  return machine.unreachable && world.cut.contains(machine.yard);
+}
+
+std::vector<Queued> queueOf(const FleetWorld& world, const std::vector<placement::Unmet>& work,
+                            bool withLost) {
+  std::vector<Queued> out;
+  std::unordered_map<std::string_view, ZoneCount*> zoned;
+  out.reserve(work.size());
+  for (const placement::Unmet& unmet : work) {
+    out.push_back(Queued{unmet, {}});
+    if (unmet.job->spec.apart || unmet.job->spec.oneZone)
+      zoned[unmet.job->spec.ref.text] = &out.back().byZone;
+  }
+  if (zoned.empty()) return out;
+  for (const Machine* machine : world.machines) {
+    if (!withLost && lost(world, *machine)) continue;
+    for (const machines::Attempt& attempt : machine->attempts) {
+      if (!attempt.holdsRoom()) continue;
+      const auto found = zoned.find(attempt.task.job.text);
+      if (found != zoned.end()) ++(*found->second)[machine->yard];
+    }
+  }
+  return out;
+}
+
+std::vector<Queued> uncovered(const FleetWorld& world, std::vector<Coming>& coming) {
+  std::vector<Queued> out;
+  for (Queued& queued : queueOf(world, world.unmet, true)) {
+    for (Coming& machine : coming) {
+      if (queued.unmet.tasks == 0) break;
+      fill(queued, machine);
+    }
+    if (queued.unmet.tasks > 0) out.push_back(std::move(queued));
+  }
+  return out;
+}
+
+}  // namespace reachhoist::fleet
--- a/src/fleet/pools.hpp
+++ b/src/fleet/pools.hpp
@@ -1,5 +1,5 @@
-// What sizing sees of the pools, and the extensions of the ordinary path: shortfall, lost machines, idle
-// returns.
+// What sizing sees of the pools, and the extensions of the ordinary path: shortfall, reserve, idle returns
+// and vacating.
 #pragma once
 
 #include <map>
@@ -19,6 +19,7 @@
   PoolKey key;
   int machines = 0;       // booting or up
   int idle = 0;           // up and empty
+  int returnable = 0;     // of those, what leaves the spare room
   double busyShare = 0;   // of the vCPUs of machines that are up
   double queueWaitS = 0;  // longest wait of work that this pool could take
   int queuedTasks = 0;
@@ -44,6 +45,20 @@
   std::vector<placement::Unmet> endangered;  // services on machines there, whose leases are running out
 };
 
+// The free CPUs of ordinary machines, and those that must stay free for the next services: only machines
+// beyond them are returned for being idle.
+class SpareRoom {
+ public:
+  explicit SpareRoom(const FleetWorld& world);
+  // Whether the spare room stays without this machine. Spot machines are none of it.
+  bool staysWithout(const Machine& machine) const;
+  void take(const Machine& machine);
+
+ private:
+  double free_ = 0;
+  double wanted_ = 0;
+};
+
 std::vector<PoolView> viewPools(const FleetWorld& world);
 
 // Extension "shortfall": work for which no machine, up or coming, has room, and that can't wait for the
@@ -52,6 +67,12 @@
 // lease.
 std::vector<Rental> shortfall(const FleetWorld& world);
 
+// Extension "reserve": ordinary machines for the services and gangs of the next boot's time. The ordinary
+// path answers queues, and a queue of such work has waited for a boot before its answer is up. Acts while
+// less than the operators' share of what such work uses is free; a pool that the ordinary path has just made
+// smaller is left alone for that step's cooldown.
+std::vector<Rental> reserve(const FleetWorld& world);
+
 // Extension "idle": machines empty for longer than the operators' limit and not needed as spare room.
 std::vector<Machine*> idleReturns(const FleetWorld& world);
 
--- a/src/fleet/sizing.cpp
+++ b/src/fleet/sizing.cpp
@@ -25,9 +25,9 @@
       (pool.refused ||
        (state.lastUp != Time{} && now - state.lastUp < wire::seconds(settings_.operators.scaleUpCooldownS))))
     return 0;
-  if (units < 0 &&
-      (pool.idle == 0 || (state.lastDown != Time{} &&
-                          now - state.lastDown < wire::seconds(settings_.operators.scaleDownCooldownS))))
+  if (units < 0 && (pool.returnable == 0 ||
+                    (state.lastDown != Time{} &&
+                     now - state.lastDown < wire::seconds(settings_.operators.scaleDownCooldownS))))
     return 0;
   return units;
 }
@@ -103,7 +103,7 @@
       state.previousUp = state.lastUp;
       state.lastUp = now;
     } else {
-      step.machines = -std::min(-step.machines, pool.idle);
+      step.machines = -std::min(-step.machines, pool.returnable);
       state.lastDown = now;
     }
     steps.push_back(std::move(step));
--- a/src/service/owner_fleet.cpp
+++ b/src/service/owner_fleet.cpp
@@ -173,6 +173,7 @@
   if (context_.now - actingSince_ < settle && !machines_.all().empty()) return;
   if (sizing_.due(context_.now)) {
     const auto world = fleetWorld();
+    fleet::SpareRoom spare(world);
     for (const fleet::Step& step : sizing_.round(context_.now, fleet::viewPools(world))) {
       context_.event(
           Level::info, "step",
@@ -183,6 +184,8 @@
         if (left <= 0) break;
         if (machine.phase != MachinePhase::up || !machine.attempts.empty() || machine.recordBusy) continue;
         if (cloud::PoolKey{machine.rig, machine.yard, machine.loaners} != step.pool) continue;
+        if (!spare.staysWithout(machine)) break;
+        spare.take(machine);
         retire(machine, "step down");
         --left;
       }
@@ -190,8 +193,12 @@
   }
   if (context_.now < nextShortfall_) return;
   nextShortfall_ = context_.now + constants::kShortfallEvery;
-  const auto world = fleetWorld();
-  for (const fleet::Rental& rental : fleet::shortfall(world)) rent(rental.pool, rental.count, "shortfall");
+  auto world = fleetWorld();
+  for (const fleet::Rental& rental : fleet::shortfall(world)) {
+    rent(rental.pool, rental.count, "shortfall");
+    world.pending[rental.pool] += static_cast<std::size_t>(rental.count);
+  }
+  for (const fleet::Rental& rental : fleet::reserve(world)) rent(rental.pool, rental.count, "reserve");
   for (Machine* machine : fleet::idleReturns(world)) retire(*machine, "idle");
   if (context_.now < nextVacation_ || context_.now - actingSince_ < constants::kVacateAge) return;
   nextVacation_ = context_.now + constants::kVacateEvery;
--- /dev/null
+++ b/tests/unit/pools_test.cpp
@@ -0,0 +1,132 @@
+// What is kept free on ordinary machines, and what it takes to rent or return one.
+#include "fleet/pools.hpp"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace reachhoist;
+using machines::Attempt;
+using machines::AttemptPhase;
+using machines::Machine;
+using machines::MachinePhase;
+
+class PoolsTest : public testing::Test {
+ protected:
+  PoolsTest() {
+    wire::RigType rig;
+    rig.label = "small";
+    rig.room = {16, 0, 64};
+    rig.rate = 1;
+    rig.bootS = 25;
+    rig.yards = {"a", "b"};
+    catalog.push_back(rig);
+    settings.operators.spareShare = 0.12;
+    settings.operators.reserveShare = 0.1;
+  }
+
+  Machine& add(const std::string& zone, double usedCpus, wire::Rank rank = wire::Rank::prod,
+               bool gang = false) {
+    Machine& machine = table.add("vm-" + std::to_string(table.all().size()));
+    machine.rig = "small";
+    machine.yard = zone;
+    machine.total = catalog[0].room;
+    machine.phase = MachinePhase::up;
+    machine.echoed = true;
+    if (usedCpus > 0) {
+      Attempt attempt;
+      attempt.task = wire::TaskId{{"job-1"}, static_cast<std::uint32_t>(table.all().size())};
+      attempt.phase = AttemptPhase::running;
+      attempt.each = {usedCpus, 0, 1};
+      attempt.rank = rank;
+      attempt.gang = gang;
+      machine.attempts.push_back(attempt);
+    }
+    return machine;
+  }
+
+  fleet::FleetWorld world() {
+    std::vector<Machine*> all;
+    for (auto& [host, machine] : table.all()) all.push_back(&machine);
+    return fleet::FleetWorld{settings, catalog, now, 0, all, {}, {}, {}, {}, {}};
+  }
+
+  int reserved() {
+    int count = 0;
+    for (const fleet::Rental& rental : fleet::reserve(world())) count += rental.count;
+    return count;
+  }
+
+  config::Settings settings;
+  std::vector<wire::RigType> catalog;
+  machines::MachineTable table;
+  wire::Time now = wire::Time{} + std::chrono::hours(1);
+};
+
+// Without it gangs waited for slow boots while services that had grown took the last ordinary room.
+TEST_F(PoolsTest, TheReserveIsRentedBeforeAnythingWaits) {
+  for (int i = 0; i < 20; ++i) add("a", 16);
+  EXPECT_EQ(reserved(), 2);  // a tenth of 320 CPUs
+  add("b", 0);
+  EXPECT_EQ(reserved(), 1);
+  add("b", 0);
+  EXPECT_EQ(reserved(), 0);
+}
+
+TEST_F(PoolsTest, TheReserveCountsWhatIsComingAndGoesToTheEmptierZone) {
+  for (int i = 0; i < 20; ++i) add("a", 16);
+  add("a", 0).phase = MachinePhase::booting;
+  const auto rentals = fleet::reserve(world());
+  ASSERT_EQ(rentals.size(), 1U);
+  EXPECT_EQ(rentals[0].count, 1);
+  EXPECT_EQ(rentals[0].pool.yard, "b");
+  EXPECT_FALSE(rentals[0].pool.loaners);
+  auto asked = world();
+  asked.pending[rentals[0].pool] = 1;
+  EXPECT_TRUE(fleet::reserve(asked).empty());
+}
+
+TEST_F(PoolsTest, WorkThatMayBeStoppedIsNoReasonForAReserveAndHoldsNoneOfIt) {
+  for (int i = 0; i < 20; ++i) add("a", 16, wire::Rank::standard);
+  EXPECT_EQ(reserved(), 0);
+  for (int i = 0; i < 10; ++i) add("a", 16, wire::Rank::standard, true);
+  for (int i = 0; i < 10; ++i) add("a", 16);
+  EXPECT_EQ(reserved(), 0);  // arrays' 320 CPUs can be had
+}
+
+TEST_F(PoolsTest, AFewServicesAreNotWorthAMachineOfReserve) {
+  for (int i = 0; i < 9; ++i) add("a", 16);
+  EXPECT_EQ(reserved(), 0);  // 14.4 CPUs
+}
+
+TEST_F(PoolsTest, NoReserveWhereRentalsAreRefusedOrTheZoneIsCut) {
+  for (int i = 0; i < 20; ++i) add("a", 16);
+  auto where = world();
+  where.refused.insert(cloud::PoolKey{"small", "a", false});
+  where.cut.insert("b");
+  EXPECT_TRUE(fleet::reserve(where).empty());
+}
+
+// A step down once returned the machines that services and gangs needed while boots were slow.
+TEST_F(PoolsTest, AStepDownLeavesTheSpareRoom) {
+  for (int i = 0; i < 20; ++i) add("a", 16);
+  for (int i = 0; i < 5; ++i) add("a", 0);
+  int idle = 0;
+  int returnable = 0;
+  for (const fleet::PoolView& view : fleet::viewPools(world())) {
+    idle += view.idle;
+    returnable += view.returnable;
+  }
+  EXPECT_EQ(idle, 5);
+  EXPECT_EQ(returnable, 2);  // 80 free less 0.12 of 320, by whole machines
+  fleet::SpareRoom spare(world());
+  Machine& machine = table.all().rbegin()->second;
+  EXPECT_TRUE(spare.staysWithout(machine));
+  spare.take(machine);
+  spare.take(machine);
+  EXPECT_FALSE(spare.staysWithout(machine));
+  machine.loaners = true;
+  EXPECT_TRUE(spare.staysWithout(machine));
+}
+
+}  // namespace
