--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -117,7 +117,9 @@
 inline constexpr double kNoHurryS = 1e9;  // s; a stop that nothing presses: a gang has all the time it needs
 inline constexpr milliseconds kGangRetry = 500ms;    // after an attempt that failed; doubles
 inline constexpr milliseconds kGangRetryMost = 15s;  // longest pause between attempts of a gang
-inline constexpr std::uint32_t kDoneChunk = 4096;    // tasks per done key: 1 KiB of hex, below any limit
+inline constexpr milliseconds kGangRentalMost =
+    5min;  // longest pause between rentals for a gang that the cloud has too few machines for
+inline constexpr std::uint32_t kDoneChunk = 4096;  // tasks per done key: 1 KiB of hex, below any limit
 
 // --- Machines -------------------------------------------------------------------------------------------
 inline constexpr double kSilentReports = 3.0;  // missed reports after which a machine gets no new work
--- a/src/fleet/coming.cpp
+++ b/src/fleet/coming.cpp
@@ -55,6 +55,10 @@
   return machine.unreachable && world.cut.contains(machine.yard);
 }
 
+bool outOfReach(const FleetWorld& world, const placement::Unmet& unmet) {
+  return unmet.job->gang.nextRental > world.now;
+}
+
 std::vector<Queued> queueOf(const FleetWorld& world, const std::vector<placement::Unmet>& work,
                             bool withLost) {
   std::vector<Queued> out;
@@ -80,6 +84,7 @@
 std::vector<Queued> uncovered(const FleetWorld& world, std::vector<Coming>& coming) {
   std::vector<Queued> out;
   for (Queued& queued : queueOf(world, world.unmet, true)) {
+    if (outOfReach(world, queued.unmet)) continue;
     for (Coming& machine : coming) {
       if (queued.unmet.tasks == 0) break;
       fill(queued, machine);
--- a/src/fleet/coming.hpp
+++ b/src/fleet/coming.hpp
@@ -44,11 +44,16 @@
 // Whether the machine can't be reached in a zone that seems cut off.
 bool lost(const FleetWorld& world, const Machine& machine);
 
+// Whether the cloud has lately had too few machines for the gang: until its next try it is no reason for any
+// rental.
+bool outOfReach(const FleetWorld& world, const placement::Unmet& unmet);
+
 // The work, with where the jobs' other tasks are; machines that are lost are left out on request.
 std::vector<Queued> queueOf(const FleetWorld& world, const std::vector<placement::Unmet>& work,
                             bool withLost);
 
-// Waiting work for which the machines that are coming have no room; takes that room for the rest.
+// Waiting work for which the machines that are coming have no room; takes that room for the rest. Leaves out
+// what is out of reach.
 std::vector<Queued> uncovered(const FleetWorld& world, std::vector<Coming>& coming);
 
 }  // namespace reachhoist::fleet
--- a/src/fleet/pools.hpp
+++ b/src/fleet/pools.hpp
@@ -30,6 +30,7 @@
 struct Rental {
   PoolKey pool;
   int count = 0;
+  std::vector<const placement::Job*> gangs;  // that wait for some of these machines
 };
 
 struct FleetWorld {
@@ -61,10 +62,11 @@
 
 std::vector<PoolView> viewPools(const FleetWorld& world);
 
-// Extension "shortfall": work for which no machine, up or coming, has room, and that can't wait for the
-// rounds. Rents what a packing of that work needs; acts on nothing once the queue is placed. The services of
-// a zone that is cut off count as waiting before their leases have run out: a boot takes about as long as a
-// lease.
+// Extension "shortfall": machines are rented for a whole gang or not at all, and ever more rarely where the
+// cloud gives too few. Otherwise: work for which no machine, up or coming, has room, and that can't wait for
+// the rounds. Rents what a packing of that work needs; acts on nothing once the queue is placed. The services
+// of a zone that is cut off count as waiting before their leases have run out: a boot takes about as long as
+// a lease.
 std::vector<Rental> shortfall(const FleetWorld& world);
 
 // Extension "reserve": ordinary machines for the services and gangs of the next boot's time. The ordinary
--- a/src/fleet/reserve.cpp
+++ b/src/fleet/reserve.cpp
@@ -44,7 +44,8 @@
     out.freeByZone[machine.pool.yard] += machine.room.vcpus;
   }
   for (const placement::Unmet& unmet : world.unmet)
-    if (needsReserve(unmet.job->spec)) out.free -= unmet.job->spec.each.vcpus * unmet.tasks;
+    if (needsReserve(unmet.job->spec) && !outOfReach(world, unmet))
+      out.free -= unmet.job->spec.each.vcpus * unmet.tasks;
   return out;
 }
 
@@ -77,7 +78,7 @@
     room.freeByZone[best->yard] += bestRig->room.vcpus;
   }
   std::vector<Rental> out;
-  for (const auto& [key, count] : rentals) out.push_back(Rental{key, count});
+  for (const auto& [key, count] : rentals) out.push_back(Rental{key, count, {}});
   return out;
 }
 
--- a/src/fleet/shortfall.cpp
+++ b/src/fleet/shortfall.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <tuple>
 
 #include "fleet/coming.hpp"
 
@@ -56,55 +57,99 @@
   return out;
 }
 
-}  // namespace
+// Packs the work that no machine has room for into machines to rent.
+class Packer {
+ public:
+  explicit Packer(const FleetWorld& world)
+      : world_(world), pools_(allPools(world.catalog)), coming_(comingMachines(world)) {
+    for (const Machine* machine : world.machines)
+      if (counts(*machine)) ++sizes_[PoolKey{machine->rig, machine->yard, machine->loaners}];
+    // While a zone is cut off, machines there would be of no use, unless there is no other.
+    elsewhere_ = std::any_of(pools_.begin(), pools_.end(),
+                             [&](const auto& pool) { return !world.cut.contains(pool.first.yard); });
+  }
+
+  std::vector<Rental> run() {
+    std::vector<Queued> work = uncovered(world_, coming_);
+    for (Queued& queued : uncoveredServices(world_, coming_)) work.push_back(std::move(queued));
+    rentedFrom_ = coming_.size();  // what is rented here for earlier work takes later work too
+    for (Queued& queued : work) {
+      if (queued.unmet.job->isGang()) {
+        packGang(queued);
+      } else {
+        pack(queued);
+      }
+    }
+    std::vector<Rental> out;
+    for (auto& [key, count] : rentals_) out.push_back(Rental{key, count, std::move(gangs_[key])});
+    return out;
+  }
 
-std::vector<Rental> shortfall(const FleetWorld& world) {
-  const auto pools = allPools(world.catalog);
-  std::map<PoolKey, int> sizes;
-  for (const Machine* machine : world.machines)
-    if (counts(*machine)) ++sizes[PoolKey{machine->rig, machine->yard, machine->loaners}];
-  auto coming = comingMachines(world);
-  std::map<PoolKey, int> rentals;
-  const std::size_t rentedFrom = coming.size();  // what is rented here for earlier work takes later work too
-  std::vector<Queued> work = uncovered(world, coming);
-  for (Queued& queued : uncoveredServices(world, coming)) work.push_back(std::move(queued));
-  // While a zone is cut off, machines there would be of no use, unless there is no other.
-  const bool elsewhere = std::any_of(pools.begin(), pools.end(),
-                                     [&](const auto& pool) { return !world.cut.contains(pool.first.yard); });
-  for (Queued& queued : work) {
+ private:
+  void pack(Queued& queued) {
+    for (std::size_t i = rentedFrom_; i < coming_.size() && queued.unmet.tasks > 0; ++i)
+      fill(queued, coming_[i]);
+    while (queued.unmet.tasks > 0) {
+      const auto* pool = cheapest(queued);
+      if (pool == nullptr) return;
+      ++rentals_[pool->first];
+      ++sizes_[pool->first];
+      coming_.push_back(Coming{pool->first, pool->second->room});
+      fill(queued, coming_.back());
+    }
+  }
+
+  // A part of a gang is of no use: either all of its tasks find room, or nothing is rented for it.
+  void packGang(Queued& queued) {
+    const jobs::Job& job = *queued.unmet.job;
+    const auto before = std::tuple{coming_, rentals_, sizes_};
+    pack(queued);
+    if (queued.unmet.tasks > 0) {
+      std::tie(coming_, rentals_, sizes_) = before;
+      return;
+    }
+    for (const auto& [key, count] : rentals_) {
+      const auto& earlier = std::get<1>(before);
+      const auto found = earlier.find(key);
+      if (found == earlier.end() || found->second < count) gangs_[key].push_back(&job);
+    }
+  }
+
+  const std::pair<PoolKey, const wire::RigType*>* cheapest(const Queued& queued) const {
     const jobs::Job& job = *queued.unmet.job;
     const wire::JobSpec& spec = job.spec;
-    for (std::size_t i = rentedFrom; i < coming.size() && queued.unmet.tasks > 0; ++i)
-      fill(queued, coming[i]);
-    while (queued.unmet.tasks > 0) {
-      const PoolKey* best = nullptr;
-      const wire::RigType* bestRig = nullptr;
-      double bestCost = std::numeric_limits<double>::max();
-      for (const auto& [key, rig] : pools) {
-        if (world.refused.contains(key) || (elsewhere && world.cut.contains(key.yard))) continue;
-        if (!placement::allows(spec, key.rig, key.yard, key.loaners)) continue;
-        if (!placement::zoneAllows(spec, queued.byZone, key.yard) || !urgent(world, job, rig->bootS))
-          continue;
-        const int fit = tasksThatFit(spec.each, rig->room);
-        if (fit < 1) continue;
-        // Price of a task's room; a larger pool in one zone breaks ties the other way, to spread the risk.
-        const double cost = price(*rig, key.loaners) / std::min(fit, static_cast<int>(queued.unmet.tasks)) *
-                            (1 + 0.001 * sizes[key]);
-        if (cost >= bestCost) continue;
-        bestCost = cost;
-        best = &key;
-        bestRig = rig;
-      }
-      if (best == nullptr) break;
-      ++rentals[*best];
-      ++sizes[*best];
-      coming.push_back(Coming{*best, bestRig->room});
-      fill(queued, coming.back());
+    const std::pair<PoolKey, const wire::RigType*>* best = nullptr;
+    double bestCost = std::numeric_limits<double>::max();
+    for (const auto& pool : pools_) {
+      const auto& [key, rig] = pool;
+      if (world_.refused.contains(key) || (elsewhere_ && world_.cut.contains(key.yard))) continue;
+      if (!placement::allows(spec, key.rig, key.yard, key.loaners)) continue;
+      if (!placement::zoneAllows(spec, queued.byZone, key.yard) || !urgent(world_, job, rig->bootS)) continue;
+      const int fit = tasksThatFit(spec.each, rig->room);
+      if (fit < 1) continue;
+      const auto size = sizes_.find(key);
+      // Price of a task's room; a larger pool in one zone breaks ties the other way, to spread the risk.
+      const double cost = price(*rig, key.loaners) / std::min(fit, static_cast<int>(queued.unmet.tasks)) *
+                          (1 + 0.001 * (size == sizes_.end() ? 0 : size->second));
+      if (cost >= bestCost) continue;
+      bestCost = cost;
+      best = &pool;
     }
+    return best;
   }
-  std::vector<Rental> out;
-  for (const auto& [key, count] : rentals) out.push_back(Rental{key, count});
-  return out;
-}
+
+  const FleetWorld& world_;
+  std::vector<std::pair<PoolKey, const wire::RigType*>> pools_;
+  std::vector<Coming> coming_;
+  std::size_t rentedFrom_ = 0;
+  std::map<PoolKey, int> sizes_;
+  std::map<PoolKey, int> rentals_;
+  std::map<PoolKey, std::vector<const placement::Job*>> gangs_;  // that wait for rentals in the pool
+  bool elsewhere_ = false;
+};
+
+}  // namespace
+
+std::vector<Rental> shortfall(const FleetWorld& world) { return Packer(world).run(); }
 
 }  // namespace reachhoist::fleet
--- a/src/jobs/jobs.cpp
+++ b/src/jobs/jobs.cpp
@@ -1,5 +1,6 @@
 #include "jobs/jobs.hpp"
 
+#include <algorithm>
 #include <limits>
 
 namespace reachhoist::jobs {
@@ -46,6 +47,14 @@
   return "waiting";
 }
 
+void Gang::rentalFellShort(Time now) {
+  ++shortRentals;
+  // Another pool may have what the first one lacked.
+  if (shortRentals == 1) return;
+  const auto pause = constants::kRefusedPause * (1 << std::min(shortRentals - 2, 6));
+  nextRental = now + std::min<std::chrono::milliseconds>(pause, constants::kGangRentalMost);
+}
+
 std::string jobKey(const std::string& ref) { return "jobs/" + ref; }
 std::string doneKey(const std::string& ref, std::uint32_t chunk) {
   return "done/" + ref + "/" + std::to_string(chunk);
--- a/src/jobs/jobs.hpp
+++ b/src/jobs/jobs.hpp
@@ -30,6 +30,11 @@
   GangPhase phase = GangPhase::waiting;
   std::uint64_t number = 0;  // of the attempt, the same for all its tasks
   int failures = 0;          // in a row
+  int shortRentals = 0;      // rentals in a row that did not get all the machines it needs
+  Time nextRental{};         // no machines are rented for it before
+
+  // The cloud gave fewer machines than were asked for.
+  void rentalFellShort(Time now);
 
   // The one function that changes a gang's phase.
   void to(GangPhase next) { phase = next; }
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -17,7 +17,9 @@
 constexpr double kEmptyServiceS = 0.4;  // an empty machine that has the image beats a fuller one that has not
 constexpr double kEmptyArrayS = 3.0;    // filling machines up leaves others to be returned
 constexpr double kGangLossS = 60.0;     // of stopping a gang for the sake of one task's room
-constexpr double kSharedFetchS = 0.5;   // joining a fetch that is under way costs about half of it
+constexpr double kUntoldGangS =
+    300.0;  // the same where a machine can't be told in time, so that nothing is saved
+constexpr double kSharedFetchS = 0.5;  // joining a fetch that is under way costs about half of it
 
 using ZoneCount = std::map<std::string, std::uint32_t>;
 
@@ -71,6 +73,7 @@
         if (!attempt.stopWanted) lowestRank_ = std::min(lowestRank_, attempt.rank);
       }
       if (takesWork(*machine)) bins_.push_back(Bin{machine, room, {}});
+      if (!canBeTold(*machine)) noteUntold(*machine);
     }
     anyOverGuarantee_ = std::any_of(teams_.begin(), teams_.end(),
                                     [this](const auto& entry) { return overGuarantee(entry.first); });
@@ -96,6 +99,17 @@
     return world_.now - machine.lastHeard <= silent && !machine.recallAt;
   }
 
+  // Whether a command would arrive at once, by all that is known.
+  bool canBeTold(const Machine& machine) const {
+    const auto overdue = wire::seconds(world_.settings.reportS * constants::kQuietReports + 0.5);
+    return machine.echoed && !machine.unreachable && world_.now - machine.lastHeard <= overdue;
+  }
+
+  void noteUntold(const Machine& machine) {
+    for (const machines::Attempt& attempt : machine.attempts)
+      if (attempt.gang && attempt.holdsRoom()) untoldGangs_.insert(attempt.number);
+  }
+
   // What has failed on a machine is tried elsewhere, unless it has failed everywhere.
   static bool avoids(const Job& job, const Machine& machine) {
     return !job.errorHosts.empty() && job.errorHosts.contains(machine.host.text) &&
@@ -485,7 +499,10 @@
 
   double loss(const machines::Attempt& attempt) const {
     // It would stop its whole gang.
-    if (attempt.gang) return kGangLossS + wire::toSeconds(world_.now - attempt.placedAt);
+    if (attempt.gang) {
+      const double stopS = untoldGangs_.contains(attempt.number) ? kUntoldGangS : kGangLossS;
+      return stopS + wire::toSeconds(world_.now - attempt.placedAt);
+    }
     if (attempt.phase != machines::AttemptPhase::running) return 0;
     return attempt.saves ? attempt.stowS : wire::toSeconds(world_.now - attempt.runningSince);
   }
@@ -495,8 +512,9 @@
   std::vector<Bin> bins_;
   std::unordered_map<std::string, TeamUse> teams_;
   std::unordered_map<std::string, ZoneCount> placed_;
-  std::set<std::uint64_t> stopped_;             // attempts, by their numbers
-  std::unordered_set<std::string> guaranteed_;  // jobs within their team's guarantee
+  std::set<std::uint64_t> stopped_;                // attempts, by their numbers
+  std::unordered_set<std::uint64_t> untoldGangs_;  // attempts with a task on a machine that can't be told
+  std::unordered_set<std::string> guaranteed_;     // jobs within their team's guarantee
   wire::Rank lowestRank_ = wire::Rank::prod;
   bool anyOverGuarantee_ = false;
   std::size_t jobs_ = 0;
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -216,6 +216,8 @@
   fleet::Sizing sizing_;
   Time nextCopy_{};
   std::map<cloud::PoolKey, Time> refusedUntil_;
+  std::map<cloud::PoolKey, std::set<std::string>>
+      gangRentals_;                            // gangs that wait for what the pool was asked for
   std::map<std::string, Time> returnedUntil_;  // lists older than the return still name them
   Time nextShortfall_{};
   Time nextVacation_{};
--- a/src/service/owner_fleet.cpp
+++ b/src/service/owner_fleet.cpp
@@ -1,5 +1,6 @@
 // Renting, returning and sizing.
 #include <algorithm>
+#include <utility>
 
 #include "service/owner.hpp"
 
@@ -27,7 +28,11 @@
     machine.lastAnswered = context_.now;
     describe(machine);
   }
+  const std::set<std::string> gangs = std::exchange(gangRentals_[pool], {});
   if (refused > 0) {
+    for (const std::string& ref : gangs)
+      if (jobs::Job* job = jobs_.find(ref); job != nullptr && job->open())
+        job->gang.rentalFellShort(context_.now);
     refusedUntil_[pool] = context_.now + constants::kRefusedPause;
     if (hosts.empty()) sizing_.refused(pool);
   }
@@ -196,6 +201,7 @@
   auto world = fleetWorld();
   for (const fleet::Rental& rental : fleet::shortfall(world)) {
     rent(rental.pool, rental.count, "shortfall");
+    for (const jobs::Job* gang : rental.gangs) gangRentals_[rental.pool].insert(gang->spec.ref.text);
     world.pending[rental.pool] += static_cast<std::size_t>(rental.count);
   }
   for (const fleet::Rental& rental : fleet::reserve(world)) rent(rental.pool, rental.count, "reserve");
--- a/src/service/owner_gangs.cpp
+++ b/src/service/owner_gangs.cpp
@@ -95,6 +95,12 @@
 
 void Owner::gangRuns(jobs::Job& job) {
   if (job.gang.phase != GangPhase::gathering || job.running < job.spec.loads) return;
+  // Tasks that linger of an earlier attempt, or save already, are no evidence that this one runs.
+  std::uint32_t run = 0;
+  forEachAttempt(job.spec.ref.text, [&](Machine&, const Attempt& attempt) {
+    if (attempt.number == job.gang.number && attempt.phase == AttemptPhase::running) ++run;
+  });
+  if (run < job.spec.loads) return;
   job.gang.failures = 0;
   toGang(job, GangPhase::running, "all tasks run");
 }
--- a/src/service/owner_rounds.cpp
+++ b/src/service/owner_rounds.cpp
@@ -202,6 +202,7 @@
     attempt.number = begun ? gang.number : cluster::baton(term_, ++attempts_);
     if (attempt.gang && !begun) {
       gang.number = attempt.number;
+      gang.shortRentals = 0;
       toGang(*assignment.job, jobs::GangPhase::reserving, "room for all");
     }
     attempt.each = spec.each;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -323,6 +323,8 @@
       world.cancelAtEndShare = seconds(3);
     } else if (what == "odd-requests") {
       world.oddRequests();
+    } else if (what == "capacity") {
+      world.capacity(words.at(3), std::stoi(words.at(4)));
     } else if (what == "boots-never") {
       world.bootsNever = words.at(3) == "on";
     } else if (what == "lose") {
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -37,6 +37,11 @@
   return nullptr;
 }
 
+void World::capacity(const std::string& label, int ordinary) {
+  for (RigSpec& spec : rigs_)
+    if (spec.type.label == label) spec.ordinary = ordinary;
+}
+
 void World::start() {
   for (std::size_t i = 0; i < base.siblings.size(); ++i) {
     auto node = std::make_unique<Node>();
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -130,6 +130,8 @@
   void lose(std::size_t nth, double hangS);
   // Every nth machine reaches no controller, while commands reach it.
   void mute(std::size_t nth, double seconds);
+  // From now on the cloud has this many ordinary machines of the type in each zone.
+  void capacity(const std::string& label, int ordinary);
   // The process stands still, and goes on where it was.
   void freeze(const std::string& node, double seconds);
   // The next report of the machine that runs the job arrives once more, at whoever leads by then.
--- a/tests/unit/jobs_test.cpp
+++ b/tests/unit/jobs_test.cpp
@@ -111,4 +111,17 @@
   EXPECT_FALSE(peer::decode(frame.substr(0, 8)));
 }
 
+TEST(Gang, RentalsThatFallShortAreRepeatedEverMoreRarely) {
+  jobs::Gang gang;
+  const wire::Time now = wire::Time{} + std::chrono::hours(1);
+  gang.rentalFellShort(now);
+  EXPECT_LE(gang.nextRental, now);  // another pool may do
+  gang.rentalFellShort(now);
+  EXPECT_EQ(gang.nextRental, now + constants::kRefusedPause);
+  gang.rentalFellShort(now);
+  EXPECT_EQ(gang.nextRental, now + 2 * constants::kRefusedPause);
+  for (int i = 0; i < 40; ++i) gang.rentalFellShort(now);
+  EXPECT_EQ(gang.nextRental, now + constants::kGangRentalMost);
+}
+
 }  // namespace
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -245,4 +245,34 @@
   EXPECT_LT(rounds, 20);
 }
 
+// A save needs every task told in time: the gang with a task on a machine that gives no answer would lose its
+// progress.
+TEST(Plan, AGangThatCantBeToldIsTheLastToBeStopped) {
+  PlanWorld world;
+  for (int gang = 0; gang < 2; ++gang) {
+    for (int i = 0; i < 2; ++i) {
+      Machine& one = world.up("vm-" + std::to_string(gang) + std::to_string(i), 2);
+      Attempt member = attempt(static_cast<std::uint32_t>(i), static_cast<std::uint64_t>(gang) + 1);
+      member.gang = true;
+      member.crew = "t";
+      member.each = {2, 0, 2};
+      member.phase = AttemptPhase::running;
+      // The second has run for less long: by that alone it is the one to go.
+      member.placedAt = member.runningSince = world.now - std::chrono::seconds(gang == 0 ? 40 : 20);
+      one.attempts.push_back(member);
+    }
+  }
+  world.job("job-9", wire::Shape::daemon, wire::Rank::prod, 1, 1'000);
+  const auto stopped = [&] {
+    const auto plan = world.plan();
+    return plan.stops.size() == 1 ? plan.stops[0].attempt : 0;
+  };
+  EXPECT_EQ(stopped(), 2U);
+  world.table.find("vm-11")->unreachable = true;
+  EXPECT_EQ(stopped(), 1U);
+  world.table.find("vm-11")->unreachable = false;
+  world.table.find("vm-11")->lastHeard = world.now - std::chrono::seconds(30);
+  EXPECT_EQ(stopped(), 1U);
+}
+
 }  // namespace
--- a/tests/unit/pools_test.cpp
+++ b/tests/unit/pools_test.cpp
@@ -129,4 +129,31 @@
   EXPECT_TRUE(spare.staysWithout(machine));
 }
 
+// Machines for a part of a gang were rented, waited, went back and were rented again.
+TEST_F(PoolsTest, MachinesAreRentedForAWholeGangOrNotAtAll) {
+  jobs::Job gang;
+  gang.spec.ref.text = "job-1";
+  gang.spec.shape = wire::Shape::gang;
+  gang.spec.loads = 3;
+  gang.spec.each = {16, 0, 16};
+  gang.spec.oneZone = true;
+  auto where = world();
+  where.unmet.push_back(placement::Unmet{&gang, 3});
+  auto rentals = fleet::shortfall(where);
+  ASSERT_EQ(rentals.size(), 1U);
+  EXPECT_EQ(rentals[0].count, 3);
+  ASSERT_EQ(rentals[0].gangs.size(), 1U);
+  EXPECT_EQ(rentals[0].gangs[0], &gang);
+  // One machine is coming in a zone that gives no more.
+  add(rentals[0].pool.yard, 0).phase = MachinePhase::booting;
+  auto scarce = world();
+  scarce.unmet.push_back(placement::Unmet{&gang, 3});
+  scarce.refused.insert(rentals[0].pool);
+  EXPECT_TRUE(fleet::shortfall(scarce).empty());
+  scarce.refused.clear();
+  EXPECT_FALSE(fleet::shortfall(scarce).empty());
+  gang.gang.nextRental = now + std::chrono::seconds(1);
+  EXPECT_TRUE(fleet::shortfall(scarce).empty());
+}
+
 }  // namespace
