--- a/src/cloud/client.cpp
+++ b/src/cloud/client.cpp
@@ -71,9 +71,9 @@
 void Client::sendRental(Time now, const std::shared_ptr<Rental>& rental) {
   rental->out = call(now, "POST", "/hosts",
                      Json{{"hire", rental->name},
-                          {"rig", rental->pool.rig},
-                          {"yard", rental->pool.yard},
-                          {"loaners", rental->pool.loaners},
+                          {"rig", rental->pool.machineType},
+                          {"yard", rental->pool.zone},
+                          {"loaners", rental->pool.spot},
                           {"number", rental->count}},
                      [this, rental](const wire::CallResult& result) { onRental(rental, result); });
 }
@@ -149,7 +149,7 @@
   askingCatalog_ = call(now, "GET", "/catalog", {}, [this](const wire::CallResult& result) {
     askingCatalog_ = false;
     auto catalog = result.ok() ? wire::decodeCatalog(result.body)
-                               : wire::Result<std::vector<wire::RigType>>::failure("no answer");
+                               : wire::Result<std::vector<wire::MachineType>>::failure("no answer");
     nextCatalog_ = now_ + (catalog ? constants::kCatalogEvery : constants::kCatalogRetry);
     if (catalog) handlers_.catalog(std::move(*catalog));
   });
--- a/src/cloud/client.hpp
+++ b/src/cloud/client.hpp
@@ -16,11 +16,11 @@
 using wire::Time;
 
 struct PoolKey {
-  std::string rig;
-  std::string yard;
-  bool loaners = false;
+  std::string machineType;
+  std::string zone;
+  bool spot = false;
   auto operator<=>(const PoolKey&) const = default;
-  std::string str() const { return rig + "/" + yard + (loaners ? "/spot" : "/ordinary"); }
+  std::string str() const { return machineType + "/" + zone + (spot ? "/spot" : "/ordinary"); }
 };
 
 class Client {
@@ -30,7 +30,7 @@
         rented;
     std::function<void(const std::vector<std::string>& hosts)> returned;  // proven gone
     std::function<void(const std::vector<wire::HostEntry>& hosts)> listed;
-    std::function<void(std::vector<wire::RigType> catalog)> catalog;
+    std::function<void(std::vector<wire::MachineType> catalog)> catalog;
   };
 
   // `lifeName` is never used again by any life of any controller: rental names begin with it.
--- a/src/cluster/leadership.cpp
+++ b/src/cluster/leadership.cpp
@@ -35,7 +35,7 @@
       // Somebody was faster while our own try was under way. Its stamps would let the next try take the lead
       // from it.
       to(State::observing);
-    } else if (permit_ != 0) {
+    } else if (leaseId_ != 0) {
       campaign();
     } else {
       lease();
@@ -89,7 +89,7 @@
     return;
   }
   if (state_ == State::taking && leaderStamp_ > ownStamp_ && leader_ != settings_.label) {
-    permit_ = 0;
+    leaseId_ = 0;
     return abandonTaking();
   }
   if (state_ == State::observing && (leader_.empty() || leader_ == settings_.label)) {
@@ -112,13 +112,13 @@
   to(State::leasing);
   client_.newLease(now_, constants::kLeaderTtl, [this](const wire::CallResult& result) {
     if (state_ != State::leasing) return;
-    const auto permit = wire::countField(result.body, "permit");
-    if (!result.ok() || !permit) {
+    const auto leaseId = wire::countField(result.body, "permit");
+    if (!result.ok() || !leaseId) {
       nextTry_ = now_ + constants::kElectionRetry;
       to(State::waiting);
       return;
     }
-    permit_ = *permit;
+    leaseId_ = *leaseId;
     if (!leader_.empty() && leader_ != settings_.label) {
       to(State::observing);
     } else {
@@ -133,7 +133,7 @@
   const Time sent = now_;
   state::Transaction transaction;
   transaction.conditions = {{kLeaderKey, leaderStamp_}, {kTermKey, termStamp_}};
-  transaction.writes.push_back({kLeaderKey, Json{{"label", settings_.label}, {"term", term}}, permit_});
+  transaction.writes.push_back({kLeaderKey, Json{{"label", settings_.label}, {"term", term}}, leaseId_});
   transaction.writes.push_back(
       {kTermKey, Json{{"term", term}, {"parts", parts_}, {"layout", layout_}}, std::nullopt});
   const bool atOnce = parts_ + 2 <= settings_.stateTxnOps;
@@ -144,7 +144,7 @@
     if (state_ != State::campaigning) return;
     if (!result.ok()) {
       // The lease may have run out during the wait. Without an answer the feed tells who leads.
-      if (result.status == 400) permit_ = 0;  // it holds only what every limit allows, so it is the lease
+      if (result.status == 400) leaseId_ = 0;  // it holds only what every limit allows, so it is the lease
       nextTry_ = now_ + constants::kElectionRetry;
       to(State::waiting);
       return;
@@ -203,13 +203,13 @@
 void Leadership::renew() {
   renewing_ = true;
   const Time sent = now_;
-  client_.touchLease(now_, permit_, [this, sent, permit = permit_](const wire::CallResult& result) {
+  client_.touchLease(now_, leaseId_, [this, sent, leaseId = leaseId_](const wire::CallResult& result) {
     renewing_ = false;
-    if ((state_ != State::leading && state_ != State::taking) || permit != permit_) return;
+    if ((state_ != State::leading && state_ != State::taking) || leaseId != leaseId_) return;
     nextRenew_ = (result.ok() ? sent + constants::kLeaderRenew : now_ + constants::kStateBackoff);
     if (result.ok()) confirmedAt_ = std::max(confirmedAt_, sent);
     if (result.status == 404 && state_ == State::taking) {
-      permit_ = 0;
+      leaseId_ = 0;
       return abandonTaking();
     }
     if (result.status == 404) depose("the lease ran out");
@@ -217,13 +217,13 @@
 }
 
 void Leadership::depose(const char* why) {
-  permit_ = 0;
+  leaseId_ = 0;
   resign(why);
 }
 
 void Leadership::stepDown(const char* why) {
   if (state_ != State::leading) return;
-  client_.endLease(now_, permit_);
+  client_.endLease(now_, leaseId_);
   depose(why);
   nextTry_ = now_ + constants::kAbstain;
 }
--- a/src/cluster/leadership.hpp
+++ b/src/cluster/leadership.hpp
@@ -83,7 +83,7 @@
   std::vector<std::uint64_t> partStamps_;  // of the parts taken so far
   Time retryTaking_{};
   bool takingCall_ = false;
-  std::uint64_t permit_ = 0;
+  std::uint64_t leaseId_ = 0;
 };
 
 }  // namespace reachhoist::cluster
--- a/src/cluster/parts.cpp
+++ b/src/cluster/parts.cpp
@@ -16,8 +16,8 @@
 
 std::string partKey(Part part) { return "parts/" + std::to_string(part); }
 
-std::uint64_t baton(std::uint64_t term, std::uint64_t fence) {
-  return (term << static_cast<unsigned>(constants::kBatonTermShift)) + fence;
+std::uint64_t token(std::uint64_t term, std::uint64_t fence) {
+  return (term << static_cast<unsigned>(constants::kTokenTermShift)) + fence;
 }
 
 }  // namespace reachhoist::cluster
--- a/src/cluster/parts.hpp
+++ b/src/cluster/parts.hpp
@@ -14,6 +14,6 @@
 
 // Who gives the commands: the term in the high bits, and below it a counter by which older commands to one
 // machine are made void.
-std::uint64_t baton(std::uint64_t term, std::uint64_t fence);
+std::uint64_t token(std::uint64_t term, std::uint64_t fence);
 
 }  // namespace reachhoist::cluster
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -20,7 +20,7 @@
 inline constexpr std::size_t kReturnAtMost = 100;        // names a deletion request may hold
 inline constexpr std::size_t kListPage = 500;            // machines a list page may hold
 inline constexpr std::size_t kKeysPage = 1000;           // items a page of keys may hold
-inline constexpr int kBatonTermShift = 20;               // bits; low part counts fences of one machine
+inline constexpr int kTokenTermShift = 20;               // bits; low part counts fences of one machine
 
 // --- Leases and safety windows --------------------------------------------------------------------------
 inline constexpr milliseconds kLeaseMargin = 1500ms;   // beyond drift: timer steps, processing, late expiry
@@ -107,8 +107,9 @@
 inline constexpr double kPageFill = 0.85;         // of the value limit, as bytes are estimated
 inline constexpr milliseconds kCleanEvery = 2s;   // pages with machines that are gone wait at most this long
 inline constexpr milliseconds kProgressGap = 2s;  // between transactions that record progress of arrays
-inline constexpr std::size_t kUnreapedMost = 40;  // attempts listed in reports before reaps go directly
-inline constexpr double kEstimateSlack = 0.5;     // of the estimate: owners are often wrong by half
+inline constexpr std::size_t kEndedListedMost =
+    40;  // attempts listed in reports before forget commands go directly
+inline constexpr double kEstimateSlack = 0.5;           // of the estimate: owners are often wrong by half
 inline constexpr milliseconds kNoAimPatience = 5min;    // start aimed at for jobs for which no aim is stated
 inline constexpr milliseconds kOverlookedAfter = 150s;  // without a start: goes first; the largest have 240 s
 inline constexpr std::uint32_t kOverlookedShare = 8;  // an overlooked job gets this part of its tasks at once
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -198,7 +198,7 @@
     Reader reader = facts.entry("objectives", entry, index++);
     Objective objective;
     reader.text("kind", objective.kind);
-    if (wire::field(entry, "class") != nullptr) reader.text("class", objective.lane);
+    if (wire::field(entry, "class") != nullptr) reader.text("class", objective.jobClass);
     reader.maybeAmount("within_s", objective.withinS);
     reader.maybeAmount("share", objective.share);
     reader.maybeAmount("times", objective.times);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -26,7 +26,7 @@
 
 struct Objective {
   std::string kind;
-  std::string lane;
+  std::string jobClass;
   double withinS = 0;
   double share = 0;
   double times = 0;
--- a/src/fleet/coming.cpp
+++ b/src/fleet/coming.cpp
@@ -5,18 +5,21 @@
 
 namespace reachhoist::fleet {
 
-double price(const wire::RigType& rig, bool loaners) { return loaners ? rig.marketPrice : rig.rate; }
+double price(const wire::MachineType& machineType, bool spot) {
+  return spot ? machineType.marketPrice : machineType.rate;
+}
 
 bool counts(const Machine& machine) {
   return machine.phase == machines::MachinePhase::booting || machine.phase == machines::MachinePhase::up;
 }
 
-std::vector<std::pair<PoolKey, const wire::RigType*>> allPools(const std::vector<wire::RigType>& catalog) {
-  std::vector<std::pair<PoolKey, const wire::RigType*>> out;
-  for (const wire::RigType& rig : catalog) {
-    for (const std::string& yard : rig.yards) {
-      out.push_back({PoolKey{rig.label, yard, false}, &rig});
-      out.push_back({PoolKey{rig.label, yard, true}, &rig});
+std::vector<std::pair<PoolKey, const wire::MachineType*>> allPools(
+    const std::vector<wire::MachineType>& catalog) {
+  std::vector<std::pair<PoolKey, const wire::MachineType*>> out;
+  for (const wire::MachineType& machineType : catalog) {
+    for (const std::string& zone : machineType.zones) {
+      out.push_back({PoolKey{machineType.label, zone, false}, &machineType});
+      out.push_back({PoolKey{machineType.label, zone, true}, &machineType});
     }
   }
   return out;
@@ -25,34 +28,34 @@
 std::vector<Coming> comingMachines(const FleetWorld& world) {
   std::vector<Coming> out;
   for (const Machine* machine : world.machines) {
-    const PoolKey key{machine->rig, machine->yard, machine->loaners};
+    const PoolKey key{machine->machineType, machine->zone, machine->spot};
     if (machine->phase == machines::MachinePhase::booting) {
       out.push_back(Coming{key, machine->total});
-    } else if (machine->phase == machines::MachinePhase::up && !machine->echoed && !machine->recallAt) {
+    } else if (machine->phase == machines::MachinePhase::up && !machine->echoed && !machine->spotNoticeAt) {
       out.push_back(Coming{key, machine->room()});
     }
   }
-  for (const auto& [key, rig] : allPools(world.catalog)) {
+  for (const auto& [key, machineType] : allPools(world.catalog)) {
     const auto found = world.pending.find(key);
     for (std::size_t i = 0; found != world.pending.end() && i < found->second; ++i)
-      out.push_back(Coming{key, rig->room});
+      out.push_back(Coming{key, machineType->room});
   }
   return out;
 }
 
 void fill(Queued& queued, Coming& machine) {
   const wire::JobSpec& spec = queued.unmet.job->spec;
-  if (!placement::allows(spec, machine.pool.rig, machine.pool.yard, machine.pool.loaners)) return;
+  if (!placement::allows(spec, machine.pool.machineType, machine.pool.zone, machine.pool.spot)) return;
   while (queued.unmet.tasks > 0 && spec.each.fitsIn(machine.room) &&
-         placement::zoneAllows(spec, queued.byZone, machine.pool.yard)) {
+         placement::zoneAllows(spec, queued.byZone, machine.pool.zone)) {
     machine.room -= spec.each;
-    ++queued.byZone[machine.pool.yard];
+    ++queued.byZone[machine.pool.zone];
     --queued.unmet.tasks;
   }
 }
 
 bool lost(const FleetWorld& world, const Machine& machine) {
-  return machine.unreachable && world.cut.contains(machine.yard);
+  return machine.unreachable && world.cut.contains(machine.zone);
 }
 
 bool outOfReach(const FleetWorld& world, const placement::Unmet& unmet) {
@@ -75,7 +78,7 @@
     for (const machines::Attempt& attempt : machine->attempts) {
       if (!attempt.holdsRoom()) continue;
       const auto found = zoned.find(attempt.task.job.text);
-      if (found != zoned.end()) ++(*found->second)[machine->yard];
+      if (found != zoned.end()) ++(*found->second)[machine->zone];
     }
   }
   return out;
--- a/src/fleet/coming.hpp
+++ b/src/fleet/coming.hpp
@@ -27,13 +27,14 @@
 };
 
 // Price per hour of one machine.
-double price(const wire::RigType& rig, bool loaners);
+double price(const wire::MachineType& machineType, bool spot);
 
 // Whether the machine is part of its pool: booting or up.
 bool counts(const Machine& machine);
 
 // Every pool that the catalogue offers, with its machine type.
-std::vector<std::pair<PoolKey, const wire::RigType*>> allPools(const std::vector<wire::RigType>& catalog);
+std::vector<std::pair<PoolKey, const wire::MachineType*>> allPools(
+    const std::vector<wire::MachineType>& catalog);
 
 // Booting, asked for, or up and not heard from both ways yet.
 std::vector<Coming> comingMachines(const FleetWorld& world);
--- a/src/fleet/pools.cpp
+++ b/src/fleet/pools.cpp
@@ -8,17 +8,17 @@
 
 std::vector<PoolView> viewPools(const FleetWorld& world) {
   std::map<PoolKey, PoolView> views;
-  for (const auto& [key, rig] : allPools(world.catalog)) {
+  for (const auto& [key, machineType] : allPools(world.catalog)) {
     PoolView& view = views[key];
     view.key = key;
-    view.ratePerHour = price(*rig, key.loaners);
+    view.ratePerHour = price(*machineType, key.spot);
     view.refused = world.refused.contains(key);
   }
   std::map<PoolKey, std::pair<double, double>> cpus;  // used, total
   std::map<PoolKey, SpareRoom> spare;                 // each pool's step is judged by itself
   for (const Machine* machine : world.machines) {
     if (!counts(*machine)) continue;
-    const auto found = views.find(PoolKey{machine->rig, machine->yard, machine->loaners});
+    const auto found = views.find(PoolKey{machine->machineType, machine->zone, machine->spot});
     if (found == views.end()) continue;
     ++found->second.machines;
     if (machine->phase != machines::MachinePhase::up) continue;
@@ -42,7 +42,7 @@
     if (const auto found = cpus.find(key); found != cpus.end() && found->second.second > 0)
       view.busyShare = found->second.first / found->second.second;
     for (const auto& [unmet, byZone] : queue) {
-      if (!placement::allows(unmet.job->spec, key.rig, key.yard, key.loaners)) continue;
+      if (!placement::allows(unmet.job->spec, key.machineType, key.zone, key.spot)) continue;
       view.queueWaitS = std::max(view.queueWaitS, wire::toSeconds(world.now - unmet.job->waitingSince));
       view.queuedTasks += static_cast<int>(unmet.tasks);
     }
--- a/src/fleet/pools.hpp
+++ b/src/fleet/pools.hpp
@@ -35,7 +35,7 @@
 
 struct FleetWorld {
   const config::Settings& settings;
-  const std::vector<wire::RigType>& catalog;
+  const std::vector<wire::MachineType>& catalog;
   Time now{};
   std::int64_t wallMs = 0;
   std::vector<Machine*> machines;
--- a/src/fleet/reserve.cpp
+++ b/src/fleet/reserve.cpp
@@ -10,12 +10,12 @@
 
 // Work that runs on ordinary machines only and for which others are stopped rather than made to wait.
 bool needsReserve(const wire::JobSpec& spec) {
-  return spec.rank >= wire::Rank::high || spec.shape == wire::Shape::gang;
+  return spec.priority >= wire::Priority::high || spec.kind == wire::JobKind::gang;
 }
 
 // Of an attempt: it takes of the room that the reserve is for. What else runs there can be stopped.
 bool holdsReserve(const machines::Attempt& attempt) {
-  return attempt.rank >= wire::Rank::high || attempt.gang;
+  return attempt.priority >= wire::Priority::high || attempt.gang;
 }
 
 struct OrdinaryRoom {
@@ -28,7 +28,7 @@
   OrdinaryRoom out;
   for (const Machine* machine : world.machines) {
     const bool takesWork = machine->phase == machines::MachinePhase::up && machine->echoed &&
-                           !machine->recallAt && !machine->loaners && !lost(world, *machine);
+                           !machine->spotNoticeAt && !machine->spot && !lost(world, *machine);
     if (!takesWork) continue;
     double held = 0;
     for (const machines::Attempt& attempt : machine->attempts)
@@ -36,12 +36,12 @@
     const double free = std::max(0.0, machine->total.vcpus - held);
     out.used += held;
     out.free += free;
-    out.freeByZone[machine->yard] += free;
+    out.freeByZone[machine->zone] += free;
   }
   for (const Coming& machine : comingMachines(world)) {
-    if (machine.pool.loaners) continue;
+    if (machine.pool.spot) continue;
     out.free += machine.room.vcpus;
-    out.freeByZone[machine.pool.yard] += machine.room.vcpus;
+    out.freeByZone[machine.pool.zone] += machine.room.vcpus;
   }
   for (const placement::Unmet& unmet : world.unmet)
     if (needsReserve(unmet.job->spec) && !outOfReach(world, unmet))
@@ -57,25 +57,26 @@
   std::map<PoolKey, int> rentals;
   while (wanted > room.free) {
     const PoolKey* best = nullptr;
-    const wire::RigType* bestRig = nullptr;
+    const wire::MachineType* bestType = nullptr;
     double bestCost = std::numeric_limits<double>::max();
     const auto pools = allPools(world.catalog);
-    for (const auto& [key, rig] : pools) {
-      if (key.loaners || world.refused.contains(key) || world.cut.contains(key.yard) || rig->room.vcpus <= 0)
+    for (const auto& [key, machineType] : pools) {
+      if (key.spot || world.refused.contains(key) || world.cut.contains(key.zone) ||
+          machineType->room.vcpus <= 0)
         continue;
       // Price of a CPU; the zone with the least room breaks ties.
-      const double cost =
-          rig->rate / rig->room.vcpus * (1 + 0.001 * room.freeByZone[key.yard] / rig->room.vcpus);
+      const double cost = machineType->rate / machineType->room.vcpus *
+                          (1 + 0.001 * room.freeByZone[key.zone] / machineType->room.vcpus);
       if (cost >= bestCost) continue;
       bestCost = cost;
       best = &key;
-      bestRig = rig;
+      bestType = machineType;
     }
     // Less than a whole machine's worth is not worth one: small deployments would pay a machine for a task.
-    if (best == nullptr || wanted - room.free < bestRig->room.vcpus) break;
+    if (best == nullptr || wanted - room.free < bestType->room.vcpus) break;
     ++rentals[*best];
-    room.free += bestRig->room.vcpus;
-    room.freeByZone[best->yard] += bestRig->room.vcpus;
+    room.free += bestType->room.vcpus;
+    room.freeByZone[best->zone] += bestType->room.vcpus;
   }
   std::vector<Rental> out;
   for (const auto& [key, count] : rentals) out.push_back(Rental{key, count, {}});
--- a/src/fleet/returns.cpp
+++ b/src/fleet/returns.cpp
@@ -10,18 +10,18 @@
   for (const Machine* machine : world.machines) {
     if (machine->phase != machines::MachinePhase::up) continue;
     for (const machines::Attempt& attempt : machine->attempts)
-      if (attempt.holdsRoom() && attempt.rank == wire::Rank::prod) used += attempt.each.vcpus;
-    if (!machine->loaners) free_ += std::max(0.0, machine->room().vcpus);
+      if (attempt.holdsRoom() && attempt.priority == wire::Priority::prod) used += attempt.each.vcpus;
+    if (!machine->spot) free_ += std::max(0.0, machine->room().vcpus);
   }
   wanted_ = used * world.settings.operators.spareShare;
 }
 
 bool SpareRoom::staysWithout(const Machine& machine) const {
-  return machine.loaners || free_ - machine.total.vcpus >= wanted_;
+  return machine.spot || free_ - machine.total.vcpus >= wanted_;
 }
 
 void SpareRoom::take(const Machine& machine) {
-  if (!machine.loaners) free_ -= machine.total.vcpus;
+  if (!machine.spot) free_ -= machine.total.vcpus;
 }
 
 std::vector<Machine*> idleReturns(const FleetWorld& world) {
@@ -48,14 +48,14 @@
   std::map<PoolKey, Pool> pools;
   if (!world.unmet.empty()) return {};
   for (Machine* machine : world.machines) {
-    if (machine->loaners) continue;
-    Pool& pool = pools[PoolKey{machine->rig, machine->yard, machine->loaners}];
+    if (machine->spot) continue;
+    Pool& pool = pools[PoolKey{machine->machineType, machine->zone, machine->spot}];
     if (machine->phase == machines::MachinePhase::draining) ++pool.leaving;
-    if (machine->phase != machines::MachinePhase::up || !machine->echoed || machine->recallAt) continue;
+    if (machine->phase != machines::MachinePhase::up || !machine->echoed || machine->spotNoticeAt) continue;
     pool.up.push_back(machine);
     pool.free += std::max(0.0, machine->room().vcpus);
     for (const machines::Attempt& attempt : machine->attempts)
-      if (attempt.holdsRoom() && attempt.rank == wire::Rank::prod) pool.prod += attempt.each.vcpus;
+      if (attempt.holdsRoom() && attempt.priority == wire::Priority::prod) pool.prod += attempt.each.vcpus;
   }
   const auto movable = [&](const Machine& machine, const Pool& pool) {
     // An empty one is the affair of idle returns.
@@ -64,10 +64,10 @@
     for (const machines::Attempt& attempt : machine.attempts) {
       if (attempt.phase == machines::AttemptPhase::ended) continue;
       if (attempt.phase != machines::AttemptPhase::running || attempt.stopWanted) return false;
-      if (!attempt.daemon) continue;
+      if (!attempt.isService) continue;
       if (world.now - attempt.runningSince < constants::kVacateAge) return false;
       const bool welcome = std::any_of(pool.up.begin(), pool.up.end(), [&](const Machine* other) {
-        return other != &machine && other->has(attempt.crate) && attempt.each.fitsIn(other->room());
+        return other != &machine && other->has(attempt.image) && attempt.each.fitsIn(other->room());
       });
       if (!welcome) return false;
     }
--- a/src/fleet/shortfall.cpp
+++ b/src/fleet/shortfall.cpp
@@ -26,7 +26,7 @@
 
 // Whether the job should be given machines now, or can wait for room that comes free.
 bool urgent(const FleetWorld& world, const jobs::Job& job, double bootS) {
-  if (job.spec.rank >= wire::Rank::high) return true;
+  if (job.spec.priority >= wire::Priority::high) return true;
   // Room that comes free by itself comes in pieces.
   if (job.isGang()) return true;
   if (job.spec.dueS) {
@@ -42,10 +42,10 @@
   std::vector<Queued> out;
   if (world.endangered.empty()) return out;
   for (const Machine* machine : world.machines) {
-    if (machine->phase != machines::MachinePhase::up || !machine->echoed || machine->recallAt ||
+    if (machine->phase != machines::MachinePhase::up || !machine->echoed || machine->spotNoticeAt ||
         lost(world, *machine))
       continue;
-    room.push_back(Coming{PoolKey{machine->rig, machine->yard, machine->loaners}, machine->room()});
+    room.push_back(Coming{PoolKey{machine->machineType, machine->zone, machine->spot}, machine->room()});
   }
   for (Queued& queued : queueOf(world, world.endangered, false)) {
     for (Coming& machine : room) {
@@ -63,10 +63,10 @@
   explicit Packer(const FleetWorld& world)
       : world_(world), pools_(allPools(world.catalog)), coming_(comingMachines(world)) {
     for (const Machine* machine : world.machines)
-      if (counts(*machine)) ++sizes_[PoolKey{machine->rig, machine->yard, machine->loaners}];
+      if (counts(*machine)) ++sizes_[PoolKey{machine->machineType, machine->zone, machine->spot}];
     // While a zone is cut off, machines there would be of no use, unless there is no other.
     elsewhere_ = std::any_of(pools_.begin(), pools_.end(),
-                             [&](const auto& pool) { return !world.cut.contains(pool.first.yard); });
+                             [&](const auto& pool) { return !world.cut.contains(pool.first.zone); });
   }
 
   std::vector<Rental> run() {
@@ -115,21 +115,23 @@
     }
   }
 
-  const std::pair<PoolKey, const wire::RigType*>* cheapest(const Queued& queued) const {
+  const std::pair<PoolKey, const wire::MachineType*>* cheapest(const Queued& queued) const {
     const jobs::Job& job = *queued.unmet.job;
     const wire::JobSpec& spec = job.spec;
-    const std::pair<PoolKey, const wire::RigType*>* best = nullptr;
+    const std::pair<PoolKey, const wire::MachineType*>* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
     for (const auto& pool : pools_) {
-      const auto& [key, rig] = pool;
-      if (world_.refused.contains(key) || (elsewhere_ && world_.cut.contains(key.yard))) continue;
-      if (!placement::allows(spec, key.rig, key.yard, key.loaners)) continue;
-      if (!placement::zoneAllows(spec, queued.byZone, key.yard) || !urgent(world_, job, rig->bootS)) continue;
-      const int fit = tasksThatFit(spec.each, rig->room);
+      const auto& [key, machineType] = pool;
+      if (world_.refused.contains(key) || (elsewhere_ && world_.cut.contains(key.zone))) continue;
+      if (!placement::allows(spec, key.machineType, key.zone, key.spot)) continue;
+      if (!placement::zoneAllows(spec, queued.byZone, key.zone) || !urgent(world_, job, machineType->bootS))
+        continue;
+      const int fit = tasksThatFit(spec.each, machineType->room);
       if (fit < 1) continue;
       const auto size = sizes_.find(key);
       // Price of a task's room; a larger pool in one zone breaks ties the other way, to spread the risk.
-      const double cost = price(*rig, key.loaners) / std::min(fit, static_cast<int>(queued.unmet.tasks)) *
+      const double cost = price(*machineType, key.spot) /
+                          std::min(fit, static_cast<int>(queued.unmet.tasks)) *
                           (1 + 0.001 * (size == sizes_.end() ? 0 : size->second));
       if (cost >= bestCost) continue;
       bestCost = cost;
@@ -139,7 +141,7 @@
   }
 
   const FleetWorld& world_;
-  std::vector<std::pair<PoolKey, const wire::RigType*>> pools_;
+  std::vector<std::pair<PoolKey, const wire::MachineType*>> pools_;
   std::vector<Coming> coming_;
   std::size_t rentedFrom_ = 0;
   std::map<PoolKey, int> sizes_;
--- a/src/jobs/jobs.cpp
+++ b/src/jobs/jobs.cpp
@@ -80,12 +80,12 @@
     if (waiting == 1) waitingSince = now;
     firstWaiting = std::min(firstWaiting, index);
   }
-  while (firstWaiting < spec.loads && tasks[firstWaiting] != TaskPhase::waiting) ++firstWaiting;
+  while (firstWaiting < spec.taskCount && tasks[firstWaiting] != TaskPhase::waiting) ++firstWaiting;
 }
 
 void Job::beginOwning(Time now) {
-  tasks.assign(spec.loads, TaskPhase::waiting);
-  waiting = spec.loads;
+  tasks.assign(spec.taskCount, TaskPhase::waiting);
+  waiting = spec.taskCount;
   placed = running = completed = firstWaiting = 0;
   doneStamps.clear();
   dirtyChunks.clear();
@@ -109,7 +109,7 @@
 
 std::string Job::doneChunk(std::uint32_t chunk) const {
   const std::uint32_t begin = chunk * constants::kDoneChunk;
-  const std::uint32_t end = std::min(spec.loads, begin + constants::kDoneChunk);
+  const std::uint32_t end = std::min(spec.taskCount, begin + constants::kDoneChunk);
   std::string hex;
   for (std::uint32_t at = begin; at < end; at += 4) {
     unsigned nibble = 0;
@@ -122,13 +122,13 @@
 
 bool Job::loadDoneChunk(std::uint32_t chunk, const std::string& hex, std::uint64_t stamp, Time now) {
   const std::uint32_t begin = chunk * constants::kDoneChunk;
-  if (chunk > spec.loads / constants::kDoneChunk || hex.size() > constants::kDoneChunk / 4) return false;
+  if (chunk > spec.taskCount / constants::kDoneChunk || hex.size() > constants::kDoneChunk / 4) return false;
   for (std::size_t i = 0; i < hex.size(); ++i) {
     const int nibble = hexValue(hex[i]);
     if (nibble < 0) return false;
     for (std::uint32_t bit = 0; bit < 4; ++bit) {
       const std::uint32_t index = begin + static_cast<std::uint32_t>(i) * 4 + bit;
-      if ((static_cast<unsigned>(nibble) >> bit & 1U) != 0 && index < spec.loads)
+      if ((static_cast<unsigned>(nibble) >> bit & 1U) != 0 && index < spec.taskCount)
         to(index, TaskPhase::completed, now);
     }
   }
@@ -150,8 +150,8 @@
   // Team and size stay: tasks of the job may still be on machines, where they count for the team's limit.
   return Json{{"phase", name(phase)},
               {"atMs", job.acceptedMs},
-              {"loads", job.spec.loads},
-              {"crew", job.spec.crew},
+              {"loads", job.spec.taskCount},
+              {"crew", job.spec.team},
               {"vcpus", job.spec.each.vcpus},
               {"accelerators", job.spec.each.accelerators},
               {"memoryGb", job.spec.each.memoryGb}};
@@ -193,8 +193,8 @@
   job.phase = next;
   wire::JobSpec rest;
   rest.ref.text = ref;
-  rest.loads = static_cast<std::uint32_t>(wire::countField(value, "loads").value_or(job.spec.loads));
-  rest.crew = wire::textField(value, "crew").value_or(job.spec.crew);
+  rest.taskCount = static_cast<std::uint32_t>(wire::countField(value, "loads").value_or(job.spec.taskCount));
+  rest.team = wire::textField(value, "crew").value_or(job.spec.team);
   rest.each.vcpus = wire::amountField(value, "vcpus").value_or(job.spec.each.vcpus);
   rest.each.accelerators = wire::amountField(value, "accelerators").value_or(job.spec.each.accelerators);
   rest.each.memoryGb = wire::amountField(value, "memoryGb").value_or(job.spec.each.memoryGb);
--- a/src/jobs/jobs.hpp
+++ b/src/jobs/jobs.hpp
@@ -19,8 +19,8 @@
 std::string_view name(JobPhase phase);
 
 // A gang, as its owner sees it. waiting: for room, with nothing of an earlier attempt left. reserving: its
-// places are being written, in one transaction or several; nothing is launched before the last. gathering:
-// launched, its tasks fetch their images and wait for each other. running: all do. stopping: all have been
+// places are being written, in one transaction or several; nothing is started before the last. gathering:
+// started, its tasks fetch their images and wait for each other. running: all do. stopping: all have been
 // told to stop, saving if they can. clearing: the attempt has failed, and what is left of it is stopped.
 // done: one task was reported done, so all are.
 enum class GangPhase : std::uint8_t { waiting, reserving, gathering, running, stopping, clearing, done };
@@ -69,8 +69,8 @@
   Gang gang;
 
   bool open() const { return phase == JobPhase::accepted; }
-  bool isGang() const { return spec.shape == wire::Shape::gang; }
-  bool finished() const { return spec.shape != wire::Shape::daemon && completed == spec.loads; }
+  bool isGang() const { return spec.kind == wire::JobKind::gang; }
+  bool finished() const { return spec.kind != wire::JobKind::service && completed == spec.taskCount; }
   wire::Stage shownStage() const;
   // The one function that changes a task's phase.
   void to(std::uint32_t index, TaskPhase next, Time now);
--- a/src/machines/machines.cpp
+++ b/src/machines/machines.cpp
@@ -75,20 +75,20 @@
   return nullptr;
 }
 
-bool Machine::fetching(const std::string& crate) const {
+bool Machine::fetching(const std::string& image) const {
   return std::any_of(attempts.begin(), attempts.end(),
-                     [&](const Attempt& a) { return a.holdsRoom() && a.crate == crate; });
+                     [&](const Attempt& a) { return a.holdsRoom() && a.image == image; });
 }
 
-void Machine::noteCrate(const std::string& crate, double sizeGb) {
-  crates[crate] = sizeGb;
+void Machine::noteImage(const std::string& image, double sizeGb) {
+  images[image] = sizeGb;
   // Which image the machine drops when its cache is full is its own affair: past the limit nothing but the
   // newest is sure.
   double sum = 0;
-  for (const auto& [label, gb] : crates) sum += gb;
+  for (const auto& [label, gb] : images) sum += gb;
   if (cacheGb > 0 && sum > cacheGb) {
-    crates.clear();
-    crates[crate] = sizeGb;
+    images.clear();
+    images[image] = sizeGb;
   }
 }
 
--- a/src/machines/machines.hpp
+++ b/src/machines/machines.hpp
@@ -13,7 +13,7 @@
 using wire::Json;
 using wire::Time;
 
-// planned: its record is being written. recorded: durable, may be launched. pulling, running, saving, ended:
+// planned: its record is being written. recorded: durable, may be started. pulling, running, saving, ended:
 // as the worker reports. free: proven gone; it holds nothing and can be dropped.
 enum class AttemptPhase { planned, recorded, pulling, running, saving, ended, free };
 std::string_view name(AttemptPhase phase);
@@ -22,26 +22,26 @@
   wire::TaskId task;
   std::uint64_t number = 0;
   wire::Resources each;
-  std::string crew;
-  std::string crate;
+  std::string team;
+  std::string image;
   double sizeGb = 0;
-  wire::Rank rank = wire::Rank::standard;
-  bool daemon = false;
+  wire::Priority priority = wire::Priority::standard;
+  bool isService = false;
   bool gang = false;
   bool saves = false;
-  double stowS = 0;
+  double checkpointS = 0;
   AttemptPhase phase = AttemptPhase::planned;
   wire::Cause cause = wire::Cause::none;
-  bool inherited = false;  // from an earlier owner: it may have ended and been reaped already
+  bool inherited = false;  // from an earlier owner: it may have ended and been forgotten already
   bool stopWanted = false;
-  double windDownS = 0;
+  double graceS = 0;
   bool stopSent = false;
   int directs = 0;                         // direct commands for it on their way
-  std::optional<std::uint64_t> openBaton;  // of a direct launch that got no answer
+  std::optional<std::uint64_t> openToken;  // of a direct start that got no answer
   std::optional<std::uint32_t> paged;      // the page that holds it; none: a stray one
-  std::uint64_t answeredAt = 0;            // tally of the report whose answer first carried the launch
-  std::uint64_t shift = 0;                 // the worker's session it belongs to; 0: not known yet
-  Time since{};                            // of the phase
+  std::uint64_t answeredAt = 0;  // sequence number of the report whose answer first carried the start
+  std::uint64_t session = 0;     // the worker's session it belongs to; 0: not known yet
+  Time since{};                  // of the phase
   Time placedAt{};
   Time runningSince{};
 
@@ -59,16 +59,16 @@
 struct Machine {
   wire::HostName host;
   std::string endpoint;
-  std::string rig;
-  std::string yard;
-  bool loaners = false;
+  std::string machineType;
+  std::string zone;
+  bool spot = false;
   wire::Resources total;
   double cacheGb = 0;
   double pullGbPerS = 1;
   MachinePhase phase = MachinePhase::booting;
-  std::uint64_t shift = 0;
-  std::uint64_t tally = 0;
-  std::uint64_t workerBaton = 0;  // highest the worker is known to have seen
+  std::uint64_t session = 0;
+  std::uint64_t sequence = 0;
+  std::uint64_t workerToken = 0;  // highest the worker is known to have seen
   std::uint64_t fence = 0;
   bool recordBusy = false;   // a transaction that concerns it is under way
   bool direct = false;       // a direct command is under way
@@ -87,9 +87,9 @@
   Time lastAnswered{};  // no answer that renews its lease was given after this
   Time idleSince{};
   Time nextDirect{};
-  std::optional<Time> recallAt;
+  std::optional<Time> spotNoticeAt;
   std::vector<Attempt> attempts;
-  std::map<std::string, double> crates;  // images it has: GB
+  std::map<std::string, double> images;  // images it has: GB
   int errorsInRow = 0;
   std::set<std::string> errorJobs;
   Time suspectUntil{};  // gets no new work before
@@ -99,9 +99,9 @@
   wire::Resources room() const;
   bool empty() const;  // nothing holds room
   Attempt* find(const wire::TaskId& task, std::uint64_t number);
-  bool fetching(const std::string& crate) const;
-  bool has(const std::string& crate) const { return crates.contains(crate); }
-  void noteCrate(const std::string& crate, double sizeGb);
+  bool fetching(const std::string& image) const;
+  bool has(const std::string& image) const { return images.contains(image); }
+  void noteImage(const std::string& image, double sizeGb);
 };
 
 class MachineTable {
--- a/src/machines/pages.cpp
+++ b/src/machines/pages.cpp
@@ -10,7 +10,7 @@
 constexpr std::size_t kPageFrame = 96;     // bytes of the frame and the transaction's mark
 
 std::size_t hostBytes(const Machine& machine) {
-  return kHostFrame + machine.host.text.size() + machine.rig.size() + machine.yard.size();
+  return kHostFrame + machine.host.text.size() + machine.machineType.size() + machine.zone.size();
 }
 std::size_t attemptBytes(const Attempt& attempt) { return kAttemptFrame + attempt.task.job.text.size(); }
 }  // namespace
@@ -127,7 +127,8 @@
       const auto page = out.find(*attempt.paged);
       if (page == out.end()) continue;
       Json& entry = page->second["hosts"][host];
-      if (entry.is_null()) entry = Json::array({machine.rig, machine.yard, machine.loaners, Json::array()});
+      if (entry.is_null())
+        entry = Json::array({machine.machineType, machine.zone, machine.spot, Json::array()});
       entry[3].push_back(attempt.task.str());
       entry[3].push_back(attempt.number);
     }
--- a/src/machines/pages.hpp
+++ b/src/machines/pages.hpp
@@ -21,9 +21,9 @@
 
 struct PagedHost {
   std::string host;
-  std::string rig;
-  std::string yard;
-  bool loaners = false;
+  std::string machineType;
+  std::string zone;
+  bool spot = false;
   std::vector<std::pair<wire::TaskId, std::uint64_t>> placed;
 };
 // Nothing when the record is malformed.
--- a/src/placement/aims.cpp
+++ b/src/placement/aims.cpp
@@ -10,7 +10,7 @@
 
 // How many times in a row the waiting tasks must run, given how many the team may run at once.
 double waves(const jobs::Job& job, const config::Settings& settings) {
-  const config::Team* team = settings.team(job.spec.crew);
+  const config::Team* team = settings.team(job.spec.team);
   double atOnce = std::numeric_limits<double>::infinity();
   if (team != nullptr && team->cpusMax > 0 && job.spec.each.vcpus > 0)
     atOnce = std::min(atOnce, std::floor(team->cpusMax / job.spec.each.vcpus + 1e-6));
@@ -35,7 +35,7 @@
   };
   bool due = false;
   for (const config::Objective& objective : settings.objectives) {
-    if (objective.lane != job.spec.lane) continue;
+    if (objective.jobClass != job.spec.jobClass) continue;
     if (objective.kind == "wait") {
       consider(objective.withinS - expectS * (runs - 1));
     } else if (objective.kind == "finished") {
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -28,15 +28,15 @@
   wire::Resources room;
   std::vector<const std::string*> planned;  // images that this round's tasks bring
 
-  bool brings(const std::string& crate) const {
-    return std::any_of(planned.begin(), planned.end(), [&](const auto* other) { return *other == crate; });
+  bool brings(const std::string& image) const {
+    return std::any_of(planned.begin(), planned.end(), [&](const auto* other) { return *other == image; });
   }
 };
 
 // What is served first. ranked: services and the like, by rank. guaranteed: work that its team need not wait
 // for. overlooked: nothing of it was started for long. reachable: some aim can still be met, most pressing
 // first. late: none can, oldest first.
-enum class Tier { ranked, guaranteed, overlooked, reachable, late };
+enum class Tier { byPriority, guaranteed, overlooked, reachable, late };
 
 // One job's order among the others: what it is compared by is worked out once a round.
 struct Turn {
@@ -62,15 +62,15 @@
         if (!attempt.holdsRoom()) continue;
         room -= attempt.each;
         if (limited) {
-          TeamUse& use = teams_[attempt.crew];
+          TeamUse& use = teams_[attempt.team];
           use.cpus += attempt.each.vcpus;
           use.gpus += attempt.each.accelerators;
         }
         if (!zoned.empty()) {
           const auto found = zoned.find(attempt.task.job.text);
-          if (found != zoned.end()) (*found->second)[machine->yard] += 1;
+          if (found != zoned.end()) (*found->second)[machine->zone] += 1;
         }
-        if (!attempt.stopWanted) lowestRank_ = std::min(lowestRank_, attempt.rank);
+        if (!attempt.stopWanted) lowestPriority_ = std::min(lowestPriority_, attempt.priority);
       }
       if (takesWork(*machine)) bins_.push_back(Bin{machine, room, {}});
       if (!canBeTold(*machine)) noteUntold(*machine);
@@ -96,7 +96,7 @@
     // or one deaf way alone is no reason to give it work.
     if (!machine.echoed || machine.suspectUntil > world_.now) return false;
     const auto silent = wire::seconds(world_.settings.reportS * constants::kSilentReports);
-    return world_.now - machine.lastHeard <= silent && !machine.recallAt;
+    return world_.now - machine.lastHeard <= silent && !machine.spotNoticeAt;
   }
 
   // Whether a command would arrive at once, by all that is known.
@@ -116,15 +116,15 @@
            static_cast<int>(job.errorHosts.size()) < constants::kWrongJobMachines;
   }
 
-  TeamUse use(const std::string& crew) const {
-    const auto found = teams_.find(crew);
+  TeamUse use(const std::string& team) const {
+    const auto found = teams_.find(team);
     return found == teams_.end() ? TeamUse{} : found->second;
   }
 
   // A job is within its team's guarantee if it fits there together with the team's earlier unfinished jobs.
   void findGuaranteed() {
     std::unordered_map<std::string_view, std::vector<const Job*>> byTeam;
-    for (const Job* job : world_.open) byTeam[job->spec.crew].push_back(job);
+    for (const Job* job : world_.open) byTeam[job->spec.team].push_back(job);
     for (const config::Team& team : world_.settings.teams) {
       if (team.cpus <= 0 && team.gpus <= 0) continue;
       const auto found = byTeam.find(team.name);
@@ -134,7 +134,7 @@
                 [](const Job* a, const Job* b) { return a->acceptedMs < b->acceptedMs; });
       TeamUse sum;
       for (const Job* job : jobs) {
-        const double left = job->spec.loads - job->completed;
+        const double left = job->spec.taskCount - job->completed;
         sum.cpus += job->spec.each.vcpus * left;
         sum.gpus += job->spec.each.accelerators * left;
         if (sum.cpus > team.cpus + 1e-6 || sum.gpus > team.gpus + 1e-6) break;
@@ -146,7 +146,7 @@
   bool withinGuarantee(const std::string& ref) const { return guaranteed_.contains(ref); }
 
   Turn turnOf(Job& job) const {
-    if (job.spec.rank >= wire::Rank::high) return Turn{&job, Tier::ranked, 0};
+    if (job.spec.priority >= wire::Priority::high) return Turn{&job, Tier::byPriority, 0};
     const Call call = nextCall(job, world_.settings, world_.wallMs);
     if (withinGuarantee(job.spec.ref.text)) return Turn{&job, Tier::guaranteed, call.latestStartMs};
     if (world_.now - job.lastPlaced > constants::kOverlookedAfter)
@@ -155,10 +155,10 @@
   }
 
   bool withinLimit(const Job& job, std::uint32_t tasks = 1) const {
-    const config::Team* team = world_.settings.team(job.spec.crew);
+    const config::Team* team = world_.settings.team(job.spec.team);
     if (team == nullptr) return false;
     if (team->cpusMax <= 0 && team->gpusMax <= 0) return true;
-    const TeamUse now = use(job.spec.crew);
+    const TeamUse now = use(job.spec.team);
     if (team->cpusMax > 0 && now.cpus + job.spec.each.vcpus * tasks > team->cpusMax + 1e-6) return false;
     return !(team->gpusMax > 0 && now.gpus + job.spec.each.accelerators * tasks > team->gpusMax + 1e-6);
   }
@@ -167,8 +167,8 @@
     if (a.tier != b.tier) return a.tier < b.tier;
     // Wherever one may stop another for its rank it also goes first: else the room it made would be taken by
     // the one that was stopped, round after round.
-    if (a.tier <= Tier::overlooked && a.job->spec.rank != b.job->spec.rank)
-      return a.job->spec.rank > b.job->spec.rank;
+    if (a.tier <= Tier::overlooked && a.job->spec.priority != b.job->spec.priority)
+      return a.job->spec.priority > b.job->spec.priority;
     if (a.latestStart != b.latestStart) return a.latestStart < b.latestStart;
     return a.job->acceptedMs < b.job->acceptedMs;
   }
@@ -176,25 +176,25 @@
   double delay(const Bin& bin, const Job& job) const {
     const Machine& machine = *bin.machine;
     double seconds = 0;
-    if (!machine.has(job.spec.crate)) {
+    if (!machine.has(job.spec.image)) {
       const double fetch = job.spec.sizeGb / std::max(machine.pullGbPerS, 0.01);
-      const bool shared = bin.brings(job.spec.crate) || machine.fetching(job.spec.crate);
+      const bool shared = bin.brings(job.spec.image) || machine.fetching(job.spec.image);
       seconds += shared ? fetch * kSharedFetchS : fetch;
     }
-    if (job.spec.loaners && !machine.loaners) seconds += kWrongKindS;
+    if (job.spec.spot && !machine.spot) seconds += kWrongKindS;
     const double used = 1 - bin.room.vcpus / std::max(machine.total.vcpus, 0.01);
-    seconds += (job.spec.rank >= wire::Rank::high ? kEmptyServiceS : kEmptyArrayS) * (1 - used);
+    seconds += (job.spec.priority >= wire::Priority::high ? kEmptyServiceS : kEmptyArrayS) * (1 - used);
     return seconds;
   }
 
   bool usable(const Bin& bin, const Job& job) const {
     const Machine& machine = *bin.machine;
-    return allows(job.spec, machine.rig, machine.yard, machine.loaners) && !avoids(job, machine);
+    return allows(job.spec, machine.machineType, machine.zone, machine.spot) && !avoids(job, machine);
   }
 
-  bool zoneOpen(const Job& job, const std::string& yard) {
+  bool zoneOpen(const Job& job, const std::string& zone) {
     if (!job.spec.apart && !job.spec.oneZone) return true;
-    return zoneAllows(job.spec, placed_[job.spec.ref.text], yard);
+    return zoneAllows(job.spec, placed_[job.spec.ref.text], zone);
   }
 
   // The tasks of a job are alike, so its machines are ranked once and only the one just used anew.
@@ -214,8 +214,8 @@
     std::uint32_t taken = 0;
     std::uint32_t index = job.firstWaiting;
     while (!heap.empty() && taken < most && plan_.assignments.size() < world_.maxTasks) {
-      while (index < job.spec.loads && job.tasks[index] != jobs::TaskPhase::waiting) ++index;
-      if (index >= job.spec.loads) break;
+      while (index < job.spec.taskCount && job.tasks[index] != jobs::TaskPhase::waiting) ++index;
+      if (index >= job.spec.taskCount) break;
       if (!withinLimit(job)) {
         blockedByTeam = true;
         break;
@@ -224,7 +224,7 @@
       const std::size_t at = heap.back().bin;
       heap.pop_back();
       Bin& bin = bins_[at];
-      if (!zoneOpen(job, bin.machine->yard)) continue;  // a full zone stays full for this round
+      if (!zoneOpen(job, bin.machine->zone)) continue;  // a full zone stays full for this round
       take(bin, job, index++);
       ++taken;
       if (!job.spec.each.fitsIn(bin.room)) continue;
@@ -244,7 +244,7 @@
     std::vector<std::pair<double, std::size_t>> order;
     for (std::size_t i = 0; i < bins_.size(); ++i) {
       const Bin& bin = bins_[i];
-      if ((zone.empty() || bin.machine->yard == zone) && job.spec.each.fitsIn(bin.room) && usable(bin, job))
+      if ((zone.empty() || bin.machine->zone == zone) && job.spec.each.fitsIn(bin.room) && usable(bin, job))
         order.emplace_back(delay(bin, job), i);
     }
     std::sort(order.begin(), order.end());
@@ -252,14 +252,14 @@
     ZoneCount placed;
     for (const auto& [seconds, at] : order) {
       wire::Resources room = bins_[at].room;
-      while (out.bins.size() < job.spec.loads && job.spec.each.fitsIn(room) &&
-             zoneAllows(job.spec, placed, bins_[at].machine->yard)) {
+      while (out.bins.size() < job.spec.taskCount && job.spec.each.fitsIn(room) &&
+             zoneAllows(job.spec, placed, bins_[at].machine->zone)) {
         room -= job.spec.each;
-        ++placed[bins_[at].machine->yard];
+        ++placed[bins_[at].machine->zone];
         out.bins.push_back(at);
         out.worstS = seconds;
       }
-      if (out.bins.size() == job.spec.loads) break;
+      if (out.bins.size() == job.spec.taskCount) break;
     }
     return out;
   }
@@ -267,27 +267,27 @@
   std::vector<std::string> gangZones(const Job& job) const {
     if (!job.spec.oneZone) return {""};
     std::set<std::string> zones;
-    for (const Bin& bin : bins_) zones.insert(bin.machine->yard);
+    for (const Bin& bin : bins_) zones.insert(bin.machine->zone);
     return {zones.begin(), zones.end()};
   }
 
   // All or nothing, in one decision, and nothing while anything of an earlier attempt may be on a machine.
   void placeGang(Job& job) {
-    if (job.waiting != job.spec.loads || !placed_[job.spec.ref.text].empty()) return;
+    if (job.waiting != job.spec.taskCount || !placed_[job.spec.ref.text].empty()) return;
     // Broken-up room never adds up to a gang while other work keeps taking it: what there is in the best
     // zone, and of the team's limit, is held for a bounded time, and again once the gang has waited too long.
     const auto waited = world_.now - job.waitingSince;
     const bool holds = held_ < constants::kGangsHeld &&
                        (waited <= constants::kGangHold || waited >= constants::kOverlookedAfter);
-    if (!withinLimit(job, job.spec.loads)) {
+    if (!withinLimit(job, job.spec.taskCount)) {
       if (!holds) return;
       ++held_;
-      TeamUse& now = teams_[job.spec.crew];
-      now.cpus += job.spec.each.vcpus * job.spec.loads;
-      now.gpus += job.spec.each.accelerators * job.spec.loads;
+      TeamUse& now = teams_[job.spec.team];
+      now.cpus += job.spec.each.vcpus * job.spec.taskCount;
+      now.gpus += job.spec.each.accelerators * job.spec.taskCount;
       return;
     }
-    if (!plan_.assignments.empty() && plan_.assignments.size() + job.spec.loads > world_.maxTasks) return;
+    if (!plan_.assignments.empty() && plan_.assignments.size() + job.spec.taskCount > world_.maxTasks) return;
     if (jobs_ >= world_.maxJobs) return;
     Seats best;
     for (const std::string& zone : gangZones(job)) {
@@ -296,12 +296,12 @@
           (found.bins.size() == best.bins.size() && found.worstS < best.worstS))
         best = std::move(found);
     }
-    if (best.bins.size() == job.spec.loads) {
-      for (std::uint32_t i = 0; i < job.spec.loads; ++i) take(bins_[best.bins[i]], job, i);
+    if (best.bins.size() == job.spec.taskCount) {
+      for (std::uint32_t i = 0; i < job.spec.taskCount; ++i) take(bins_[best.bins[i]], job, i);
       ++jobs_;
       return;
     }
-    plan_.unmet.push_back(Unmet{&job, job.spec.loads});
+    plan_.unmet.push_back(Unmet{&job, job.spec.taskCount});
     makeRoomForGang(job);
     if (!holds) return;
     ++held_;
@@ -311,7 +311,7 @@
   // What may be stopped so that the whole gang fits, in the cheapest zone; nothing if it still would not.
   void makeRoomForGang(const Job& job) {
     const bool guaranteed = withinGuarantee(job.spec.ref.text);
-    if (job.spec.rank <= lowestRank_ && !(guaranteed && anyOverGuarantee_)) return;
+    if (job.spec.priority <= lowestPriority_ && !(guaranteed && anyOverGuarantee_)) return;
     struct Option {
       double cost = 0;
       const Bin* bin = nullptr;
@@ -323,7 +323,7 @@
       std::uint32_t fit = 0;
       std::vector<Option> options;
       for (const Bin& bin : bins_) {
-        if ((!zone.empty() && bin.machine->yard != zone) || !usable(bin, job)) continue;
+        if ((!zone.empty() && bin.machine->zone != zone) || !usable(bin, job)) continue;
         wire::Resources room = bin.room;
         std::vector<const machines::Attempt*> candidates;
         for (const machines::Attempt& attempt : bin.machine->attempts) {
@@ -341,7 +341,7 @@
         };
         fit += takeSeats();
         std::sort(candidates.begin(), candidates.end(), [this](const auto* a, const auto* b) {
-          return a->rank != b->rank ? a->rank < b->rank : loss(*a) < loss(*b);
+          return a->priority != b->priority ? a->priority < b->priority : loss(*a) < loss(*b);
         });
         Option option{0, &bin, {}};
         double dearest = 0;
@@ -355,10 +355,10 @@
           options.push_back(std::exchange(option, Option{0, &bin, {}}));
         }
       }
-      if (fit >= job.spec.loads) return;  // the room is coming
+      if (fit >= job.spec.taskCount) return;  // the room is coming
       std::stable_sort(options.begin(), options.end(),
                        [](const Option& a, const Option& b) { return a.cost < b.cost; });
-      const std::size_t need = job.spec.loads - fit;
+      const std::size_t need = job.spec.taskCount - fit;
       if (options.size() < need) continue;
       options.resize(need);
       double cost = 0;
@@ -371,8 +371,8 @@
     for (const Option& option : best) {
       for (const auto* victim : option.victims) {
         if (!stopped_.insert(victim->number).second) continue;
-        plan_.stops.push_back(
-            Stop{option.bin->machine, victim->task, victim->number, victim->saves ? victim->stowS + 1 : 0});
+        plan_.stops.push_back(Stop{option.bin->machine, victim->task, victim->number,
+                                   victim->saves ? victim->checkpointS + 1 : 0});
       }
     }
   }
@@ -391,9 +391,9 @@
     }
     if (left == 0 || blockedByTeam) return;
     // Only what the team's limit lets start is asked of sizing.
-    if (const config::Team* team = world_.settings.team(job.spec.crew);
+    if (const config::Team* team = world_.settings.team(job.spec.team);
         team != nullptr && team->cpusMax > 0) {
-      const double free = team->cpusMax - use(job.spec.crew).cpus;
+      const double free = team->cpusMax - use(job.spec.team).cpus;
       left = std::min(
           left, static_cast<std::uint32_t>(std::max(0.0, free / std::max(job.spec.each.vcpus, 0.01) + 1e-6)));
     }
@@ -405,36 +405,36 @@
 
   void take(Bin& bin, Job& job, std::uint32_t index) {
     bin.room -= job.spec.each;
-    if (!bin.brings(job.spec.crate)) bin.planned.push_back(&job.spec.crate);
-    if (job.spec.apart || job.spec.oneZone) placed_[job.spec.ref.text][bin.machine->yard] += 1;
-    TeamUse& now = teams_[job.spec.crew];
+    if (!bin.brings(job.spec.image)) bin.planned.push_back(&job.spec.image);
+    if (job.spec.apart || job.spec.oneZone) placed_[job.spec.ref.text][bin.machine->zone] += 1;
+    TeamUse& now = teams_[job.spec.team];
     now.cpus += job.spec.each.vcpus;
     now.gpus += job.spec.each.accelerators;
     plan_.assignments.push_back(Assignment{&job, index, bin.machine});
   }
 
-  bool overGuarantee(const std::string& crew) const {
-    const config::Team* team = world_.settings.team(crew);
-    return team != nullptr && team->cpus > 0 && use(crew).cpus > team->cpus + 1e-6;
+  bool overGuarantee(const std::string& name) const {
+    const config::Team* team = world_.settings.team(name);
+    return team != nullptr && team->cpus > 0 && use(name).cpus > team->cpus + 1e-6;
   }
 
   // What may be stopped for this job: lower rank; or, to give a team its guarantee, what another team runs
   // beyond its own. Cheapest loss first: the least important, then the latest started.
   bool mayStop(const Job& job, bool guaranteed, const machines::Attempt& attempt) const {
     using machines::AttemptPhase;
-    if (attempt.stopWanted || attempt.crew.empty()) return false;
+    if (attempt.stopWanted || attempt.team.empty()) return false;
     if (attempt.phase != AttemptPhase::recorded && attempt.phase != AttemptPhase::pulling &&
         attempt.phase != AttemptPhase::running)
       return false;
     if (withinGuarantee(attempt.task.job.text) && !guaranteed) return false;
-    if (attempt.rank < job.spec.rank) return true;
-    return guaranteed && !withinGuarantee(attempt.task.job.text) && attempt.rank <= job.spec.rank &&
-           attempt.crew != job.spec.crew && overGuarantee(attempt.crew);
+    if (attempt.priority < job.spec.priority) return true;
+    return guaranteed && !withinGuarantee(attempt.task.job.text) && attempt.priority <= job.spec.priority &&
+           attempt.team != job.spec.team && overGuarantee(attempt.team);
   }
 
   void makeRoom(const Job& job, std::uint32_t tasks) {
     const bool guaranteed = withinGuarantee(job.spec.ref.text);
-    if (job.spec.rank <= lowestRank_ && !(guaranteed && anyOverGuarantee_)) return;
+    if (job.spec.priority <= lowestPriority_ && !(guaranteed && anyOverGuarantee_)) return;
     // Room that is being made already counts: otherwise every round would stop more for the same task.
     std::uint32_t coming = 0;
     for (const Bin& bin : bins_) {
@@ -461,18 +461,18 @@
     double bestCost = std::numeric_limits<double>::max();
     for (Bin& bin : bins_) {
       const Machine& machine = *bin.machine;
-      if (!usable(bin, job) || !zoneOpen(job, machine.yard)) continue;
+      if (!usable(bin, job) || !zoneOpen(job, machine.zone)) continue;
       std::vector<const machines::Attempt*> candidates;
       for (const machines::Attempt& attempt : machine.attempts)
         if (mayStop(job, guaranteed, attempt) && !stopped_.contains(attempt.number))
           candidates.push_back(&attempt);
       std::sort(candidates.begin(), candidates.end(), [this](const auto* a, const auto* b) {
-        if (a->rank != b->rank) return a->rank < b->rank;
+        if (a->priority != b->priority) return a->priority < b->priority;
         return loss(*a) < loss(*b);
       });
       wire::Resources room = bin.room;
       std::vector<const machines::Attempt*> victims;
-      double cost = machine.has(job.spec.crate) ? 0 : job.spec.sizeGb / std::max(machine.pullGbPerS, 0.01);
+      double cost = machine.has(job.spec.image) ? 0 : job.spec.sizeGb / std::max(machine.pullGbPerS, 0.01);
       for (const auto* victim : candidates) {
         if (job.spec.each.fitsIn(room)) break;
         room += victim->each;
@@ -489,11 +489,11 @@
       stopped_.insert(victim->number);
       bestBin->room += victim->each;
       plan_.stops.push_back(
-          Stop{bestBin->machine, victim->task, victim->number, victim->saves ? victim->stowS + 1 : 0});
+          Stop{bestBin->machine, victim->task, victim->number, victim->saves ? victim->checkpointS + 1 : 0});
     }
     // Held for the one it was made for.
     bestBin->room -= job.spec.each;
-    if (job.spec.apart || job.spec.oneZone) placed_[job.spec.ref.text][bestBin->machine->yard] += 1;
+    if (job.spec.apart || job.spec.oneZone) placed_[job.spec.ref.text][bestBin->machine->zone] += 1;
     return true;
   }
 
@@ -504,7 +504,7 @@
       return stopS + wire::toSeconds(world_.now - attempt.placedAt);
     }
     if (attempt.phase != machines::AttemptPhase::running) return 0;
-    return attempt.saves ? attempt.stowS : wire::toSeconds(world_.now - attempt.runningSince);
+    return attempt.saves ? attempt.checkpointS : wire::toSeconds(world_.now - attempt.runningSince);
   }
 
   const World& world_;
@@ -515,7 +515,7 @@
   std::set<std::uint64_t> stopped_;                // attempts, by their numbers
   std::unordered_set<std::uint64_t> untoldGangs_;  // attempts with a task on a machine that can't be told
   std::unordered_set<std::string> guaranteed_;     // jobs within their team's guarantee
-  wire::Rank lowestRank_ = wire::Rank::prod;
+  wire::Priority lowestPriority_ = wire::Priority::prod;
   bool anyOverGuarantee_ = false;
   std::size_t jobs_ = 0;
   std::size_t held_ = 0;  // gangs for which room is held
@@ -523,10 +523,10 @@
 
 }  // namespace
 
-bool allows(const wire::JobSpec& job, const std::string& rig, const std::string& yard, bool loaners) {
-  if (loaners && !job.loaners) return false;
-  if (job.yard && *job.yard != yard) return false;
-  return job.allowsRig(rig);
+bool allows(const wire::JobSpec& job, const std::string& machineType, const std::string& zone, bool spot) {
+  if (spot && !job.spot) return false;
+  if (job.zone && *job.zone != zone) return false;
+  return job.allowsMachineType(machineType);
 }
 
 bool zoneAllows(const wire::JobSpec& job, const std::map<std::string, std::uint32_t>& placed,
@@ -537,7 +537,7 @@
   }
   if (job.apart) {
     const auto found = placed.find(zone);
-    if (found != placed.end() && found->second >= (job.loads + 1) / 2) return false;
+    if (found != placed.end() && found->second >= (job.taskCount + 1) / 2) return false;
   }
   return true;
 }
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -24,7 +24,7 @@
   Machine* machine = nullptr;
   wire::TaskId task;
   std::uint64_t attempt = 0;
-  double windDownS = 0;
+  double graceS = 0;
 };
 
 // Work that found no room: what sizing follows.
@@ -57,7 +57,7 @@
 };
 
 // Whether machines of this kind may run the job at all (its other tasks aside).
-bool allows(const wire::JobSpec& job, const std::string& rig, const std::string& yard, bool loaners);
+bool allows(const wire::JobSpec& job, const std::string& machineType, const std::string& zone, bool spot);
 
 Plan plan(const World& world);
 
--- a/src/service/context.hpp
+++ b/src/service/context.hpp
@@ -54,7 +54,7 @@
   state::Client state;
   Time now{};
   std::int64_t wallMs = 0;
-  std::optional<std::vector<wire::RigType>> catalog;
+  std::optional<std::vector<wire::MachineType>> catalog;
   std::vector<Reply> replies;
   std::vector<PeerSend> peerOut;
   Level level;
--- a/src/service/controller.cpp
+++ b/src/service/controller.cpp
@@ -191,7 +191,7 @@
   // It has been commanded under this term, or was sent to the owner a moment ago, and is here all the same:
   // it can't reach the owner, but perhaps we can. Now and then it is sent back, in case the way is open
   // again.
-  const bool left = report.baton >= cluster::baton(leadership_.term(), 0) ||
+  const bool left = report.token >= cluster::token(leadership_.term(), 0) ||
                     context_.now - detour.redirectedAt < constants::kRelayMemory;
   const bool enough =
       detour.relayedSince != Time{} && context_.now - detour.relayedSince > constants::kRelayFor;
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -39,7 +39,7 @@
               },
               [this](const auto& hosts) { onReturned(hosts); },
               [this](const auto& hosts) { onListed(hosts); },
-              [this](std::vector<wire::RigType> catalog) { context_.catalog = std::move(catalog); }})),
+              [this](std::vector<wire::MachineType> catalog) { context_.catalog = std::move(catalog); }})),
       sizing_(context.settings, term) {
   load();
 }
@@ -152,9 +152,9 @@
   }
   for (const machines::PagedHost& paged : *hosts) {
     Machine& machine = machines_.add(paged.host);
-    machine.rig = paged.rig;
-    machine.yard = paged.yard;
-    machine.loaners = paged.loaners;
+    machine.machineType = paged.machineType;
+    machine.zone = paged.zone;
+    machine.spot = paged.spot;
     machine.phase = MachinePhase::up;
     machine.rentedAt = machine.lastHeard = machine.upSince = machine.idleSince = context_.now;
     // Until this moment plus its window an earlier owner may have renewed the worker's lease.
@@ -200,19 +200,19 @@
       if (job != nullptr) {
         // Also when it has ended since: what is still on a machine counts for its team until proven gone.
         attempt.each = job->spec.each;
-        attempt.crew = job->spec.crew;
+        attempt.team = job->spec.team;
       }
-      if (job == nullptr || !job->open() || attempt.task.index >= job->spec.loads) {
+      if (job == nullptr || !job->open() || attempt.task.index >= job->spec.taskCount) {
         attempt.stopWanted = true;
         continue;
       }
-      attempt.crate = job->spec.crate;
+      attempt.image = job->spec.image;
       attempt.sizeGb = job->spec.sizeGb;
-      attempt.rank = job->spec.rank;
-      attempt.daemon = job->spec.shape == wire::Shape::daemon;
+      attempt.priority = job->spec.priority;
+      attempt.isService = job->spec.kind == wire::JobKind::service;
       attempt.gang = job->isGang();
-      attempt.saves = job->spec.stowEveryS > 0;
-      attempt.stowS = job->spec.stowS;
+      attempt.saves = job->spec.checkpointEveryS > 0;
+      attempt.checkpointS = job->spec.checkpointS;
       if (job->tasks[attempt.task.index] == jobs::TaskPhase::waiting)
         job->to(attempt.task.index, jobs::TaskPhase::placed, context_.now);
     }
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -69,16 +69,16 @@
   // Confirmed so lately that nobody else can lead yet. What costs money or condemns machines needs it: an
   // owner that is cut off would rent and condemn beside the next one.
   bool sure() const;
-  std::uint64_t batonOf(const Machine& machine) const { return cluster::baton(term_, machine.fence); }
+  std::uint64_t tokenOf(const Machine& machine) const { return cluster::token(term_, machine.fence); }
   // Every durable change of an owner depends on its parts.
   std::vector<state::Condition> partConditions() const;
 
   // --- owner_workers.cpp: evidence and orders
   enum class Source { report, direct };
   void takeEvidence(Machine& machine, const wire::Report& report, Source source);
-  void takeLoad(Machine& machine, Attempt& attempt, const wire::LoadState& load);
+  void takeTaskReport(Machine& machine, Attempt& attempt, const wire::TaskReport& reported);
   void takeAbsence(Machine& machine, const wire::Report& report);
-  void newShift(Machine& machine, const wire::Report& report);
+  void newSession(Machine& machine, const wire::Report& report);
   void release(Machine& machine, Attempt& attempt, const char* why);
   void unplace(jobs::Job& job, const wire::TaskId& task);
   void releaseAll(Machine& machine, const char* why);
@@ -88,22 +88,22 @@
   void judge(Machine& machine);
   void complete(const wire::TaskId& task);
   bool durablyDone(const wire::TaskId& task);
-  void stop(Machine& machine, Attempt& attempt, double windDownS);
+  void stop(Machine& machine, Attempt& attempt, double graceS);
   void ordersDue(Machine& machine);
   void raiseFence(Machine& machine);
   void noteEcho(Machine& machine);
-  std::vector<wire::Order> ordersFor(Machine& machine, Source via, std::uint64_t tally);
+  std::vector<wire::Order> ordersFor(Machine& machine, Source via, std::uint64_t sequence);
   bool mayCallWorker() const;
   void sendDirects();
   void sendDirect(Machine& machine);
-  void onDirect(const std::string& host, std::uint64_t baton, std::uint64_t shift,
+  void onDirect(const std::string& host, std::uint64_t token, std::uint64_t session,
                 const std::vector<wire::Order>& orders, const wire::CallResult& result);
   void watchSilence();
   void findCuts();
   wire::Duration quietFor() const;
   void moveServices();
   // Placed work that its users miss at once when it ends.
-  static bool service(const Attempt& attempt);
+  static bool holdsService(const Attempt& attempt);
   void pullIn();
   void inspect(Machine& machine);
   void useNotice(Machine& machine);
@@ -116,7 +116,7 @@
   void progressRound();
   void onProgress(const std::vector<std::pair<std::string, std::uint32_t>>& chunks,
                   const state::Outcome& outcome);
-  void reapsDue();
+  void forgetsDue();
   void placementRound();
   placement::Plan planRound();
   // Takes the assignments for which the round's pages have room.
@@ -133,7 +133,7 @@
   void forEachAttempt(const std::string& ref, const std::function<void(Machine&, Attempt&)>& visit);
   void toGang(jobs::Job& job, jobs::GangPhase next, const char* why);
   void adoptGangs();
-  bool gangMayLaunch(const Attempt& attempt);
+  bool gangMayStart(const Attempt& attempt);
   void gangWritten(jobs::Job& job);
   void gangRuns(jobs::Job& job);
   void gangLost(jobs::Job& job, const Attempt& attempt, const char* why);
@@ -203,7 +203,7 @@
   Time nextPlan_{};
   Time replanAt_{};
   Time nextSilenceCheck_{};
-  std::set<std::string> cutYards_;  // zones that seem cut off
+  std::set<std::string> cutZones_;  // zones that seem cut off
   std::map<std::string, Time> cutUntil_;
   bool selfCut_ = false;  // most machines are quiet, wherever they are
   Time selfCutSince_{};
--- a/src/service/owner_fleet.cpp
+++ b/src/service/owner_fleet.cpp
@@ -8,11 +8,11 @@
 
 void Owner::describe(Machine& machine) {
   if (!context_.catalog) return;
-  for (const wire::RigType& rig : *context_.catalog) {
-    if (rig.label != machine.rig) continue;
-    machine.total = rig.room;
-    machine.cacheGb = rig.cacheGb;
-    machine.pullGbPerS = rig.pullGbPerS;
+  for (const wire::MachineType& machineType : *context_.catalog) {
+    if (machineType.label != machine.machineType) continue;
+    machine.total = machineType.room;
+    machine.cacheGb = machineType.cacheGb;
+    machine.pullGbPerS = machineType.pullGbPerS;
   }
 }
 
@@ -20,9 +20,9 @@
   for (const std::string& host : hosts) {
     if (machines_.find(host) != nullptr) continue;  // its worker was faster than the answer
     Machine& machine = machines_.add(host);
-    machine.rig = pool.rig;
-    machine.yard = pool.yard;
-    machine.loaners = pool.loaners;
+    machine.machineType = pool.machineType;
+    machine.zone = pool.zone;
+    machine.spot = pool.spot;
     machine.rentedAt = context_.now;
     machine.lastHeard = context_.now;
     machine.lastAnswered = context_.now;
@@ -49,7 +49,7 @@
     machine->to(MachinePhase::gone, context_.now);
     for (const std::uint32_t page : pages_.naming(host)) stalePages_.insert(page);
     context_.event(Level::info, "machine_gone", {{"machine", host}, {"why", machine->returnReason}});
-    // A placement whose outcome is still open finds nothing left to launch, and that is right.
+    // A placement whose outcome is still open finds nothing left to start, and that is right.
     for (Attempt& attempt : machine->attempts) release(*machine, attempt, "machine gone");
     machines_.remove(host);
     returnedUntil_[host] = context_.now + constants::kReturnedMemory;
@@ -65,9 +65,9 @@
     if (machine == nullptr) {
       if (returnedUntil_.contains(entry.ref.text)) continue;
       Machine& stranger = machines_.add(entry.ref.text);
-      stranger.rig = entry.rig;
-      stranger.yard = entry.yard;
-      stranger.loaners = entry.loaners;
+      stranger.machineType = entry.machineType;
+      stranger.zone = entry.zone;
+      stranger.spot = entry.spot;
       stranger.endpoint = entry.endpoint;
       stranger.rentedAt = context_.now - wire::seconds(entry.ageS);
       stranger.lastHeard = context_.now;
@@ -97,11 +97,11 @@
   machine.to(MachinePhase::draining, context_.now);
   context_.event(Level::info, "draining", {{"machine", machine.host.text}, {"why", why}});
   for (Attempt& attempt : machine.attempts) {
-    if (gently && !attempt.daemon) continue;
+    if (gently && !attempt.isService) continue;
     if (attempt.gang) {
       stopGang(attempt.task.job.text, constants::kNoHurryS, why);
     } else {
-      stop(machine, attempt, attempt.saves ? attempt.stowS + 1 : 0);
+      stop(machine, attempt, attempt.saves ? attempt.checkpointS + 1 : 0);
     }
   }
 }
@@ -117,13 +117,13 @@
   for (auto& [host, machine] : machines_.all()) {
     if (machine.phase == MachinePhase::draining && machine.attempts.empty()) {
       machine.to(MachinePhase::retiring, context_.now);
-    } else if (machine.phase == MachinePhase::up && machine.recallAt && machine.attempts.empty()) {
+    } else if (machine.phase == MachinePhase::up && machine.spotNoticeAt && machine.attempts.empty()) {
       retire(machine, "spot notice");
     } else if (machine.phase == MachinePhase::booting) {
       double bootS = 0;
       if (context_.catalog) {
-        for (const wire::RigType& rig : *context_.catalog)
-          if (rig.label == machine.rig) bootS = rig.bootS;
+        for (const wire::MachineType& machineType : *context_.catalog)
+          if (machineType.label == machine.machineType) bootS = machineType.bootS;
       }
       const auto patience = std::max<wire::Duration>(constants::kBootPatienceLeast,
                                                      wire::seconds(bootS * constants::kBootPatience));
@@ -136,10 +136,10 @@
   if (selfCut_) return {};
   std::map<std::string, std::uint32_t> tasks;
   for (const auto& [host, machine] : machines_.all()) {
-    if (machine.phase != MachinePhase::up || !machine.unreachable || !cutYards_.contains(machine.yard))
+    if (machine.phase != MachinePhase::up || !machine.unreachable || !cutZones_.contains(machine.zone))
       continue;
     for (const Attempt& attempt : machine.attempts)
-      if (service(attempt)) ++tasks[attempt.task.job.text];
+      if (holdsService(attempt)) ++tasks[attempt.task.job.text];
   }
   std::vector<placement::Unmet> out;
   for (const auto& [ref, count] : tasks)
@@ -151,14 +151,14 @@
 fleet::FleetWorld Owner::fleetWorld() {
   fleet::FleetWorld world{
       context_.settings, *context_.catalog, context_.now, context_.wallMs, allMachines(), unmet_, {}, {},
-      cutYards_,         endangered()};
+      cutZones_,         endangered()};
   std::erase_if(world.unmet, [](const placement::Unmet& unmet) { return !unmet.job->open(); });
   std::erase_if(refusedUntil_, [this](const auto& entry) { return entry.second <= context_.now; });
   for (const auto& [pool, until] : refusedUntil_) world.refused.insert(pool);
-  for (const auto& rig : *context_.catalog) {
-    for (const std::string& yard : rig.yards) {
-      for (const bool loaners : {false, true}) {
-        const cloud::PoolKey key{rig.label, yard, loaners};
+  for (const auto& machineType : *context_.catalog) {
+    for (const std::string& zone : machineType.zones) {
+      for (const bool spot : {false, true}) {
+        const cloud::PoolKey key{machineType.label, zone, spot};
         if (const std::size_t count = cloud_->pending(key); count > 0) world.pending[key] = count;
       }
     }
@@ -188,7 +188,7 @@
       for (auto& [host, machine] : machines_.all()) {
         if (left <= 0) break;
         if (machine.phase != MachinePhase::up || !machine.attempts.empty() || machine.recordBusy) continue;
-        if (cloud::PoolKey{machine.rig, machine.yard, machine.loaners} != step.pool) continue;
+        if (cloud::PoolKey{machine.machineType, machine.zone, machine.spot} != step.pool) continue;
         if (!spare.staysWithout(machine)) break;
         spare.take(machine);
         retire(machine, "step down");
--- a/src/service/owner_gangs.cpp
+++ b/src/service/owner_gangs.cpp
@@ -1,5 +1,5 @@
 // Gangs: all tasks of an attempt run at the same time or none does. One number for the whole attempt, all
-// places durable before the first launch, and the next attempt only once nothing of this one may be left.
+// places durable before the first start, and the next attempt only once nothing of this one may be left.
 #include <algorithm>
 
 #include "service/owner.hpp"
@@ -38,7 +38,7 @@
   }
   for (auto& [ref, found] : tasks) {
     jobs::Job& job = *jobs_.find(ref);
-    const bool whole = found.size() == job.spec.loads;
+    const bool whole = found.size() == job.spec.taskCount;
     toGang(job, whole ? GangPhase::gathering : GangPhase::clearing, "adopted");
     forEachAttempt(ref, [&](Machine& machine, Attempt& attempt) {
       if (!whole || attempt.number != job.gang.number) stop(machine, attempt, 0);
@@ -46,7 +46,7 @@
   }
 }
 
-bool Owner::gangMayLaunch(const Attempt& attempt) {
+bool Owner::gangMayStart(const Attempt& attempt) {
   const jobs::Job* job = jobs_.find(attempt.task.job.text);
   return job != nullptr && job->open() && job->gang.number == attempt.number &&
          job->gang.phase == GangPhase::gathering;
@@ -88,19 +88,19 @@
   forEachAttempt(job.spec.ref.text, [&](Machine&, Attempt& attempt) {
     if (attempt.number == job.gang.number && attempt.phase == AttemptPhase::recorded) ++recorded;
   });
-  if (recorded < job.spec.loads) return;
+  if (recorded < job.spec.taskCount) return;
   toGang(job, GangPhase::gathering, "all places are durable");
   forEachAttempt(job.spec.ref.text, [this](Machine& machine, Attempt&) { ordersDue(machine); });
 }
 
 void Owner::gangRuns(jobs::Job& job) {
-  if (job.gang.phase != GangPhase::gathering || job.running < job.spec.loads) return;
+  if (job.gang.phase != GangPhase::gathering || job.running < job.spec.taskCount) return;
   // Tasks that linger of an earlier attempt, or save already, are no evidence that this one runs.
   std::uint32_t run = 0;
   forEachAttempt(job.spec.ref.text, [&](Machine&, const Attempt& attempt) {
     if (attempt.number == job.gang.number && attempt.phase == AttemptPhase::running) ++run;
   });
-  if (run < job.spec.loads) return;
+  if (run < job.spec.taskCount) return;
   job.gang.failures = 0;
   toGang(job, GangPhase::running, "all tasks run");
 }
@@ -126,8 +126,8 @@
   if (job == nullptr || !job->open() || !job->isGang()) return;
   const GangPhase phase = job->gang.phase;
   if (phase != GangPhase::reserving && phase != GangPhase::gathering && phase != GangPhase::running) return;
-  const double graceS = job->spec.stowS + 1;
-  const bool saves = phase == GangPhase::running && job->spec.stowEveryS > 0 && graceS < leftS;
+  const double graceS = job->spec.checkpointS + 1;
+  const bool saves = phase == GangPhase::running && job->spec.checkpointEveryS > 0 && graceS < leftS;
   toGang(*job, GangPhase::stopping, why);
   forEachAttempt(ref, [&](Machine& machine, Attempt& attempt) {
     if (attempt.holdsRoom()) stop(machine, attempt, saves ? graceS : 0);
@@ -138,7 +138,7 @@
 // machines have vanished meanwhile.
 void Owner::completeGang(jobs::Job& job) {
   toGang(job, GangPhase::done, "a task is done");
-  for (std::uint32_t index = 0; index < job.spec.loads; ++index)
+  for (std::uint32_t index = 0; index < job.spec.taskCount; ++index)
     job.to(index, jobs::TaskPhase::completed, context_.now);
   finishedJobs_.insert(job.spec.ref.text);
   planDue_ = true;
--- a/src/service/owner_rounds.cpp
+++ b/src/service/owner_rounds.cpp
@@ -66,7 +66,7 @@
       onJobEnded(*jobs_.find(ref));
     }
   }
-  reapsDue();
+  forgetsDue();
 }
 
 void Owner::progressRound() {
@@ -119,15 +119,15 @@
     }
   }
   if (!applied) return refusedBy(outcome, "progress");
-  reapsDue();
+  forgetsDue();
 }
 
-void Owner::reapsDue() {
+void Owner::forgetsDue() {
   for (auto& [host, machine] : machines_.all()) {
-    const bool reapable = std::any_of(machine.attempts.begin(), machine.attempts.end(),
-                                      [](const Attempt& a) { return a.phase == AttemptPhase::ended; });
-    // The next report's answer carries it: nobody waits for a reap.
-    if (reapable && machine.attempts.size() > constants::kUnreapedMost) ordersDue(machine);
+    const bool forgettable = std::any_of(machine.attempts.begin(), machine.attempts.end(),
+                                         [](const Attempt& a) { return a.phase == AttemptPhase::ended; });
+    // The next report's answer carries it: nobody waits for a forget command.
+    if (forgettable && machine.attempts.size() > constants::kEndedListedMost) ordersDue(machine);
   }
 }
 
@@ -172,7 +172,7 @@
       if (attempt->gang) {
         stopGang(attempt->task.job.text, constants::kNoHurryS, "preempted");
       } else {
-        stop(*order.machine, *attempt, order.windDownS);
+        stop(*order.machine, *attempt, order.graceS);
       }
     }
   }
@@ -199,20 +199,20 @@
     // A gang's places are taken in one decision, though they may need several transactions.
     if (!attempt.paged) reserving_.insert(spec.ref.text);
     // Unique for ever: no later life or leader gives the same number. A gang's tasks share theirs.
-    attempt.number = begun ? gang.number : cluster::baton(term_, ++attempts_);
+    attempt.number = begun ? gang.number : cluster::token(term_, ++attempts_);
     if (attempt.gang && !begun) {
       gang.number = attempt.number;
       gang.shortRentals = 0;
       toGang(*assignment.job, jobs::GangPhase::reserving, "room for all");
     }
     attempt.each = spec.each;
-    attempt.crew = spec.crew;
-    attempt.crate = spec.crate;
+    attempt.team = spec.team;
+    attempt.image = spec.image;
     attempt.sizeGb = spec.sizeGb;
-    attempt.rank = spec.rank;
-    attempt.daemon = spec.shape == wire::Shape::daemon;
-    attempt.saves = spec.stowEveryS > 0;
-    attempt.stowS = spec.stowS;
+    attempt.priority = spec.priority;
+    attempt.isService = spec.kind == wire::JobKind::service;
+    attempt.saves = spec.checkpointEveryS > 0;
+    attempt.checkpointS = spec.checkpointS;
     attempt.since = attempt.placedAt = context_.now;
     assignment.machine->attempts.push_back(std::move(attempt));
     assignment.machine->recordBusy = true;
@@ -284,7 +284,7 @@
         continue;
       }
       if (attempt.gang) gangs.insert(attempt.task.job.text);
-      // Stopped while it was being written, or on a machine that is being given up: never launched, so free.
+      // Stopped while it was being written, or on a machine that is being given up: never started, so free.
       const bool wanted = !attempt.stopWanted && machine->phase == MachinePhase::up;
       if (applied && wanted) {
         attempt.to(AttemptPhase::recorded, context_.now);
--- a/src/service/owner_workers.cpp
+++ b/src/service/owner_workers.cpp
@@ -9,7 +9,8 @@
 namespace {
 // A report that may be answered must not be one that was held back on its way and speaks of an earlier world.
 bool newer(const Machine& machine, const wire::Report& report) {
-  return report.shift > machine.shift || (report.shift == machine.shift && report.tally > machine.tally);
+  return report.session > machine.session ||
+         (report.session == machine.session && report.sequence > machine.sequence);
 }
 }  // namespace
 
@@ -23,7 +24,7 @@
   }
   // A worker that has seen a later term drops our answers, and a 200 would only hold it here until its lease
   // has run out.
-  if (report.baton >= cluster::baton(term_ + 1, 0)) return {};
+  if (report.token >= cluster::token(term_ + 1, 0)) return {};
   // Gone for good: this is a late copy of what it once sent, and must not bring it back.
   if (returnedUntil_.contains(report.host.text)) return {};
   Machine* machine = machines_.find(report.host.text);
@@ -37,86 +38,87 @@
   if (!newer(*machine, report)) return {};
   if (machine->phase == MachinePhase::returning || machine->phase == MachinePhase::gone) return {};
   machine->endpoint = report.endpoint;
-  machine->rig = report.rig;
-  machine->yard = report.yard;
-  machine->loaners = report.loaners;
+  machine->machineType = report.machineType;
+  machine->zone = report.zone;
+  machine->spot = report.spot;
   describe(*machine);
   if (machine->phase == MachinePhase::booting) {
     machine->to(MachinePhase::up, context_.now);
     context_.event(Level::info, "machine_up",
                    {{"machine", report.host.text},
-                    {"rig", report.rig},
-                    {"yard", report.yard},
+                    {"type", report.machineType},
+                    {"zone", report.zone},
                     {"after_s", wire::toSeconds(context_.now - machine->rentedAt)}});
   }
   takeEvidence(*machine, report, Source::report);
   machine->unreachable = false;
   machine->lastHeard = context_.now;
   machine->lastAnswered = std::max(machine->lastAnswered, context_.now);
-  const auto orders = ordersFor(*machine, Source::report, report.tally);
-  return ReportAnswer{200, wire::encodeOrders(batonOf(*machine), orders)};
+  const auto orders = ordersFor(*machine, Source::report, report.sequence);
+  return ReportAnswer{200, wire::encodeOrders(tokenOf(*machine), orders)};
 }
 
 void Owner::takeEvidence(Machine& machine, const wire::Report& report, Source source) {
   if (!newer(machine, report)) return;
-  if (report.shift > machine.shift) newShift(machine, report);
-  machine.tally = report.tally;
-  machine.workerBaton = std::max(machine.workerBaton, report.baton);
+  if (report.session > machine.session) newSession(machine, report);
+  machine.sequence = report.sequence;
+  machine.workerToken = std::max(machine.workerToken, report.token);
   noteEcho(machine);
   for (Attempt& attempt : machine.attempts) {
-    // Once the worker has seen a higher baton, the old command can only get a 409.
-    if (attempt.openBaton && machine.workerBaton > *attempt.openBaton) attempt.openBaton.reset();
+    // Once the worker has seen a higher token, the old command can only get a 409.
+    if (attempt.openToken && machine.workerToken > *attempt.openToken) attempt.openToken.reset();
   }
-  if (report.recallS && !machine.recallAt) {
-    machine.recallAt = context_.now + wire::seconds(*report.recallS);
-    context_.event(Level::info, "spot_notice", {{"machine", machine.host.text}, {"in_s", *report.recallS}});
+  if (report.spotNoticeS && !machine.spotNoticeAt) {
+    machine.spotNoticeAt = context_.now + wire::seconds(*report.spotNoticeS);
+    context_.event(Level::info, "spot_notice",
+                   {{"machine", machine.host.text}, {"in_s", *report.spotNoticeS}});
     useNotice(machine);
   }
-  for (const wire::LoadState& load : report.loads) {
-    Attempt* attempt = machine.find(load.load, load.attempt);
+  for (const wire::TaskReport& reported : report.tasks) {
+    Attempt* attempt = machine.find(reported.task, reported.attempt);
     if (attempt == nullptr) {
-      // Every launch had its record first, so this is an attempt that was released: it must not go on.
+      // Every start had its record first, so this is an attempt that was released: it must not go on.
       Attempt stray;
-      stray.task = load.load;
-      stray.number = load.attempt;
+      stray.task = reported.task;
+      stray.number = reported.attempt;
       stray.inherited = true;
       stray.stopWanted = true;
       stray.phase = AttemptPhase::recorded;
       stray.since = stray.placedAt = context_.now;
-      if (const jobs::Job* job = jobs_.find(load.load.job.text); job != nullptr) {
+      if (const jobs::Job* job = jobs_.find(reported.task.job.text); job != nullptr) {
         stray.each = job->spec.each;
-        stray.crew = job->spec.crew;
+        stray.team = job->spec.team;
       }
       machine.attempts.push_back(std::move(stray));
       attempt = &machine.attempts.back();
       context_.event(Level::info, "stray_attempt",
-                     {{"machine", machine.host.text}, {"task", load.load.str()}});
+                     {{"machine", machine.host.text}, {"task", reported.task.str()}});
     }
-    takeLoad(machine, *attempt, load);
+    takeTaskReport(machine, *attempt, reported);
   }
   if (source == Source::report) takeAbsence(machine, report);
   dropFree(machine);
   if (!machine.empty()) machine.idleSince = context_.now;
 }
 
-void Owner::newShift(Machine& machine, const wire::Report& report) {
-  if (machine.shift != 0 && !machine.attempts.empty())
+void Owner::newSession(Machine& machine, const wire::Report& report) {
+  if (machine.session != 0 && !machine.attempts.empty())
     context_.event(Level::info, "lease_lost",
                    {{"machine", machine.host.text}, {"attempts", machine.attempts.size()}});
   // The worker has killed and forgotten everything of the sessions before. What an earlier owner placed and
   // nobody has seen under this one may belong to the new session: the one known so far may be that of a late
   // copy. Absence decides about it, as always under a new term.
   for (Attempt& attempt : machine.attempts) {
-    const bool unseen = attempt.inherited && attempt.shift == 0;
-    if (machine.shift != 0 && attempt.phase != AttemptPhase::planned && !unseen)
+    const bool unseen = attempt.inherited && attempt.session == 0;
+    if (machine.session != 0 && attempt.phase != AttemptPhase::planned && !unseen)
       release(machine, attempt, "lease lost");
   }
   dropFree(machine);
-  machine.shift = report.shift;
+  machine.session = report.session;
   // The new session's lease counts from its beginning, whether or not any of its reports was answered. What
-  // is launched in it by direct commands goes on for that long.
+  // is started in it by direct commands goes on for that long.
   machine.lastAnswered = std::max(machine.lastAnswered, context_.now);
-  machine.crates = {};
+  machine.images = {};
 }
 
 void Owner::setRunning(Attempt& attempt, AttemptPhase next) {
@@ -133,57 +135,58 @@
   }
 }
 
-void Owner::takeLoad(Machine& machine, Attempt& attempt, const wire::LoadState& load) {
-  attempt.shift = machine.shift;
-  switch (load.stage) {
-    case wire::LoadStage::unfamiliar:
+void Owner::takeTaskReport(Machine& machine, Attempt& attempt, const wire::TaskReport& reported) {
+  attempt.session = machine.session;
+  switch (reported.stage) {
+    case wire::TaskStage::unfamiliar:
       // Whatever a later protocol says of it, it is there.
       if (!std::exchange(unfamiliarLogged_, true))
         context_.event(Level::info, "unfamiliar_state",
                        {{"task", attempt.task.str()}, {"machine", machine.host.text}});
       if (attempt.phase == AttemptPhase::recorded) setRunning(attempt, AttemptPhase::pulling);
       return;
-    case wire::LoadStage::pulling:
-    case wire::LoadStage::waiting:
+    case wire::TaskStage::pulling:
+    case wire::TaskStage::waiting:
       setRunning(attempt, AttemptPhase::pulling);
       return;
-    case wire::LoadStage::running:
+    case wire::TaskStage::running:
       if (attempt.phase != AttemptPhase::running && context_.logs(Level::debug))
         context_.event(Level::debug, "running",
                        {{"task", attempt.task.str()},
                         {"machine", machine.host.text},
                         {"after_s", wire::toSeconds(context_.now - attempt.placedAt)}});
       setRunning(attempt, AttemptPhase::running);
-      if (!attempt.crate.empty()) machine.noteCrate(attempt.crate, attempt.sizeGb);
+      if (!attempt.image.empty()) machine.noteImage(attempt.image, attempt.sizeGb);
       if (attempt.gang)
         if (jobs::Job* job = jobs_.find(attempt.task.job.text); job != nullptr && job->open()) gangRuns(*job);
       return;
-    case wire::LoadStage::saving:
+    case wire::TaskStage::saving:
       setRunning(attempt, AttemptPhase::saving);
       return;
-    case wire::LoadStage::ended:
+    case wire::TaskStage::ended:
       break;
   }
   if (attempt.phase == AttemptPhase::ended) return;
   planDue_ = true;
   const bool wasPlaced = attempt.phase != AttemptPhase::free;
   setRunning(attempt, AttemptPhase::ended);
-  attempt.cause = load.cause;
+  attempt.cause = reported.cause;
   if (!wasPlaced) return;
   jobs::Job* job = jobs_.find(attempt.task.job.text);
   const bool known = job != nullptr && job->open() && attempt.task.index < job->tasks.size();
-  if (load.cause == wire::Cause::done && !attempt.daemon) {
+  if (reported.cause == wire::Cause::done && !attempt.isService) {
     machine.errorsInRow = 0;
     machine.errorJobs.clear();
     if (known) complete(attempt.task);
     return;
   }
-  if (load.cause == wire::Cause::error || load.cause == wire::Cause::unknown) noteError(machine, attempt);
+  if (reported.cause == wire::Cause::error || reported.cause == wire::Cause::unknown)
+    noteError(machine, attempt);
   if (context_.logs(Level::debug))
     context_.event(Level::debug, "ended",
                    {{"task", attempt.task.str()},
                     {"machine", machine.host.text},
-                    {"cause", static_cast<int>(load.cause)}});
+                    {"cause", static_cast<int>(reported.cause)}});
   if (!known) return;
   unplace(*job, attempt.task);
   gangLost(*job, attempt, "a task ended");
@@ -204,18 +207,18 @@
 void Owner::takeAbsence(Machine& machine, const wire::Report& report) {
   // Under a new term a report proves absence only once the worker has seen our token: before that it may be a
   // late copy of one that an earlier owner got.
-  if (report.baton < cluster::baton(term_, 0)) return;
+  if (report.token < cluster::token(term_, 0)) return;
   for (Attempt& attempt : machine.attempts) {
     const bool present =
-        std::any_of(report.loads.begin(), report.loads.end(), [&](const wire::LoadState& load) {
-          return load.attempt == attempt.number && load.load == attempt.task;
+        std::any_of(report.tasks.begin(), report.tasks.end(), [&](const wire::TaskReport& reported) {
+          return reported.attempt == attempt.number && reported.task == attempt.task;
         });
     if (present || attempt.phase == AttemptPhase::planned) continue;
-    if (attempt.directs > 0 || attempt.openBaton) continue;  // a launch may still take effect
+    if (attempt.directs > 0 || attempt.openToken) continue;  // a start may still take effect
     const bool seen = attempt.phase != AttemptPhase::recorded;
-    // A launch in an answer is executed at once or never: a later report without it proves that the answer
+    // A start in an answer is executed at once or never: a later report without it proves that the answer
     // did not arrive. Until the worker is seen with a higher token it gets no more work.
-    const bool notTaken = attempt.answeredAt != 0 && report.tally > attempt.answeredAt;
+    const bool notTaken = attempt.answeredAt != 0 && report.sequence > attempt.answeredAt;
     if (notTaken && !seen) raiseFence(machine);
     if (seen || attempt.inherited || attempt.stopWanted || notTaken)
       release(machine, attempt, seen ? "reaped" : notTaken ? "not taken" : "absent");
@@ -238,7 +241,7 @@
 
 void Owner::releaseAll(Machine& machine, const char* why) {
   for (Attempt& attempt : machine.attempts) {
-    // What is still being written has never been launched; its transaction decides what becomes of it.
+    // What is still being written has never been started; its transaction decides what becomes of it.
     if (attempt.phase != AttemptPhase::planned) release(machine, attempt, why);
   }
   dropFree(machine);
@@ -315,15 +318,15 @@
          !job->finished();
 }
 
-void Owner::stop(Machine& machine, Attempt& attempt, double windDownS) {
+void Owner::stop(Machine& machine, Attempt& attempt, double graceS) {
   if (attempt.phase == AttemptPhase::planned || attempt.phase == AttemptPhase::ended) {
     attempt.stopWanted = true;
     return;
   }
-  const bool harder = attempt.stopWanted && windDownS < attempt.windDownS;
+  const bool harder = attempt.stopWanted && graceS < attempt.graceS;
   if (attempt.stopWanted && !harder) return;
   attempt.stopWanted = true;
-  attempt.windDownS = windDownS;
+  attempt.graceS = graceS;
   attempt.stopSent = false;
   ordersDue(machine);
 }
@@ -335,14 +338,14 @@
 
 void Owner::raiseFence(Machine& machine) {
   // Once is enough until the worker has been seen with it.
-  if (machine.workerBaton < batonOf(machine)) return;
+  if (machine.workerToken < tokenOf(machine)) return;
   ++machine.fence;
   machine.echoed = false;
   machine.unechoedSince = context_.now;
 }
 
 void Owner::noteEcho(Machine& machine) {
-  if (machine.echoed || machine.workerBaton < batonOf(machine)) {
+  if (machine.echoed || machine.workerToken < tokenOf(machine)) {
     if (!machine.echoed && machine.unechoedSince == Time{}) machine.unechoedSince = context_.now;
     return;
   }
@@ -351,24 +354,24 @@
   planDue_ = true;
 }
 
-std::vector<wire::Order> Owner::ordersFor(Machine& machine, Source via, std::uint64_t tally) {
-  std::vector<wire::Order> reaps;
+std::vector<wire::Order> Owner::ordersFor(Machine& machine, Source via, std::uint64_t sequence) {
+  std::vector<wire::Order> forgets;
   std::vector<wire::Order> rest;
   for (Attempt& attempt : machine.attempts) {
-    wire::Order order{wire::Verb::launch, attempt.task, attempt.number, 0};
+    wire::Order order{wire::Verb::start, attempt.task, attempt.number, 0};
     switch (attempt.phase) {
       case AttemptPhase::planned:
       case AttemptPhase::free:
         break;
       case AttemptPhase::recorded:
-        // Never repeated for what may have ended and been reaped under an earlier owner.
+        // Never repeated for what may have ended and been forgotten under an earlier owner.
         if (attempt.inherited && !attempt.stopWanted) break;
         if (attempt.stopWanted) {
-          order.verb = wire::Verb::halt;
+          order.verb = wire::Verb::stop;
           rest.push_back(order);
-        } else if (attempt.directs == 0 && sure() && (!attempt.gang || gangMayLaunch(attempt))) {
+        } else if (attempt.directs == 0 && sure() && (!attempt.gang || gangMayStart(attempt))) {
           // Nothing is begun on old news: another controller may have confirmed the job's cancellation since.
-          if (via == Source::report && attempt.answeredAt == 0) attempt.answeredAt = tally;
+          if (via == Source::report && attempt.answeredAt == 0) attempt.answeredAt = sequence;
           rest.push_back(order);
         }
         break;
@@ -377,23 +380,23 @@
       case AttemptPhase::saving:
         if (!attempt.stopWanted) break;
         if (attempt.stopSent && via == Source::direct) break;
-        if (attempt.phase == AttemptPhase::saving && attempt.windDownS > 0) break;
-        order.verb = wire::Verb::halt;
-        order.windDownS = attempt.windDownS;
+        if (attempt.phase == AttemptPhase::saving && attempt.graceS > 0) break;
+        order.verb = wire::Verb::stop;
+        order.graceS = attempt.graceS;
         attempt.stopSent = true;
         rest.push_back(order);
         break;
       case AttemptPhase::ended:
-        // A launch that may still arrive would start the attempt anew once the worker has forgotten it.
-        if (attempt.directs > 0 || attempt.openBaton) break;
-        if (attempt.cause == wire::Cause::done && !attempt.daemon && !durablyDone(attempt.task)) break;
-        order.verb = wire::Verb::reap;
-        reaps.push_back(order);
+        // A start that may still arrive would start the attempt anew once the worker has forgotten it.
+        if (attempt.directs > 0 || attempt.openToken) break;
+        if (attempt.cause == wire::Cause::done && !attempt.isService && !durablyDone(attempt.task)) break;
+        order.verb = wire::Verb::forget;
+        forgets.push_back(order);
         break;
     }
   }
-  reaps.insert(reaps.end(), rest.begin(), rest.end());
-  return reaps;
+  forgets.insert(forgets.end(), rest.begin(), rest.end());
+  return forgets;
 }
 
 bool Owner::mayCallWorker() const { return workerCalls_ < context_.settings.workerCallsMost(); }
@@ -413,12 +416,12 @@
 
 void Owner::sendDirect(Machine& machine) {
   machine.ordersDue = false;
-  if (machine.endpoint.empty() || machine.shift == 0 || !mayAnswer()) return;
+  if (machine.endpoint.empty() || machine.session == 0 || !mayAnswer()) return;
   if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::draining) return;
   const auto orders = ordersFor(machine, Source::direct, 0);
   if (orders.empty() && (machine.echoed || !machine.pulled)) return;
   for (const wire::Order& order : orders)
-    if (order.verb == wire::Verb::launch) ++machine.find(order.load, order.attempt)->directs;
+    if (order.verb == wire::Verb::start) ++machine.find(order.task, order.attempt)->directs;
   machine.direct = true;
   ++workerCalls_;
   wire::Call call;
@@ -426,34 +429,35 @@
   call.endpoint = machine.endpoint;
   call.method = "POST";
   call.path = "/commands";
-  const std::uint64_t baton = batonOf(machine);
-  call.body = wire::encodeOrders(baton, orders);
-  call.body["shift"] = machine.shift;
+  const std::uint64_t token = tokenOf(machine);
+  call.body = wire::encodeOrders(token, orders);
+  call.body["shift"] = machine.session;
   call.timeout = constants::kWorkerTimeout;
-  context_.calls.start(std::move(call), [this, host = machine.host.text, baton, shift = machine.shift, orders,
-                                         alive = std::weak_ptr<int>(alive_)](const wire::CallResult& result) {
-    if (!alive.lock()) return;
-    --workerCalls_;
-    onDirect(host, baton, shift, orders, result);
-  });
+  context_.calls.start(std::move(call),
+                       [this, host = machine.host.text, token, session = machine.session, orders,
+                        alive = std::weak_ptr<int>(alive_)](const wire::CallResult& result) {
+                         if (!alive.lock()) return;
+                         --workerCalls_;
+                         onDirect(host, token, session, orders, result);
+                       });
 }
 
-void Owner::onDirect(const std::string& host, std::uint64_t baton, std::uint64_t shift,
+void Owner::onDirect(const std::string& host, std::uint64_t token, std::uint64_t session,
                      const std::vector<wire::Order>& orders, const wire::CallResult& result) {
   Machine* machine = machines_.find(host);
   if (machine == nullptr) return;
   machine->direct = false;
   const bool answered = result.status != 0;
   for (const wire::Order& order : orders) {
-    if (order.verb != wire::Verb::launch) continue;
-    Attempt* attempt = machine->find(order.load, order.attempt);
+    if (order.verb != wire::Verb::start) continue;
+    Attempt* attempt = machine->find(order.task, order.attempt);
     if (attempt == nullptr) continue;
     --attempt->directs;
     // It may be carried out minutes later, as long as token and session match.
-    if (!answered && result.sent && machine->shift == shift) attempt->openBaton = baton;
+    if (!answered && result.sent && machine->session == session) attempt->openToken = token;
   }
   if (!answered) {
-    if (result.sent && baton == batonOf(*machine)) {
+    if (result.sent && token == tokenOf(*machine)) {
       // Makes the command void once the worker has seen the higher token.
       ++machine->fence;
       machine->echoed = false;
@@ -471,9 +475,9 @@
   return wire::seconds(context_.settings.reportS * constants::kQuietReports + 0.5);
 }
 
-bool Owner::service(const Attempt& attempt) {
+bool Owner::holdsService(const Attempt& attempt) {
   return attempt.holdsRoom() && attempt.phase != AttemptPhase::planned && !attempt.stopWanted &&
-         attempt.rank >= wire::Rank::high;
+         attempt.priority >= wire::Priority::high;
 }
 
 // Most machines of a zone quiet at once are more likely cut off than dead, and relay needs a while to find
@@ -485,23 +489,23 @@
   int heard = 0;
   for (const auto& [host, machine] : machines_.all()) {
     if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::draining) continue;
-    ++up[machine.yard];
-    if (machine.tally != 0) ++heard;
-    if (context_.now - machine.lastHeard > quietFor()) ++quiet[machine.yard];
+    ++up[machine.zone];
+    if (machine.sequence != 0) ++heard;
+    if (context_.now - machine.lastHeard > quietFor()) ++quiet[machine.zone];
   }
   int allUp = 0;
   int allQuiet = 0;
-  for (const auto& [yard, count] : up) {
+  for (const auto& [zone, count] : up) {
     allUp += count;
-    allQuiet += quiet[yard];
+    allQuiet += quiet[zone];
     // A cut silences all of a zone within a report interval. It is believed for a while, since relay brings
     // its machines back one by one.
-    if (quiet[yard] > 1 && quiet[yard] > count * constants::kCutShare)
-      cutUntil_[yard] = context_.now + wire::seconds(context_.settings.reportS * constants::kGoneReports);
+    if (quiet[zone] > 1 && quiet[zone] > count * constants::kCutShare)
+      cutUntil_[zone] = context_.now + wire::seconds(context_.settings.reportS * constants::kGoneReports);
   }
-  cutYards_.clear();
+  cutZones_.clear();
   std::erase_if(cutUntil_, [this](const auto& entry) { return entry.second <= context_.now; });
-  for (const auto& [yard, until] : cutUntil_) cutYards_.insert(yard);
+  for (const auto& [zone, until] : cutUntil_) cutZones_.insert(zone);
   // Nearly all of them: it is this controller that is cut off from workers, until relay has found its way.
   selfCut_ = allQuiet * 4 > allUp * 3;
   // Machines that were never heard under this term may as well be dead, and then the next leader would do no
@@ -516,28 +520,28 @@
 // margins.
 // What has not been heard since the leader changed may have been cut off from the earlier one for long.
 void Owner::moveServices() {
-  if (cutYards_.empty() || selfCut_) return;
+  if (cutZones_.empty() || selfCut_) return;
   double room = 0;
   for (const auto& [host, machine] : machines_.all()) {
     const bool reached = machine.phase == MachinePhase::up && machine.echoed && !machine.unreachable &&
-                         !machine.recallAt && !machine.loaners;
+                         !machine.spotNoticeAt && !machine.spot;
     if (reached) room += std::max(0.0, machine.room().vcpus);
     // On its way out already, its services will take of the same room.
     if (machine.phase == MachinePhase::retiring || machine.phase == MachinePhase::returning)
       for (const Attempt& attempt : machine.attempts)
-        if (service(attempt)) room -= attempt.each.vcpus;
+        if (holdsService(attempt)) room -= attempt.each.vcpus;
   }
   for (const placement::Unmet& unmet : unmet_)
-    if (unmet.job->spec.rank >= wire::Rank::high) room -= unmet.job->spec.each.vcpus * unmet.tasks;
+    if (unmet.job->spec.priority >= wire::Priority::high) room -= unmet.job->spec.each.vcpus * unmet.tasks;
   const auto moveAfter = wire::seconds(context_.settings.leaseS * constants::kMoveAtLease);
   const auto unheardFor = wire::seconds(context_.settings.reportS * constants::kGoneReports + 1);
   for (auto& [host, machine] : machines_.all()) {
-    if (machine.phase != MachinePhase::up || !machine.unreachable || !cutYards_.contains(machine.yard) ||
-        context_.now - machine.lastHeard < (machine.tally == 0 ? unheardFor : moveAfter))
+    if (machine.phase != MachinePhase::up || !machine.unreachable || !cutZones_.contains(machine.zone) ||
+        context_.now - machine.lastHeard < (machine.sequence == 0 ? unheardFor : moveAfter))
       continue;
     double cpus = 0;
     for (const Attempt& attempt : machine.attempts)
-      if (service(attempt)) cpus += attempt.each.vcpus;
+      if (holdsService(attempt)) cpus += attempt.each.vcpus;
     if (cpus == 0 || cpus > room) continue;
     room -= cpus;
     condemn(machine, "cut off");
@@ -573,7 +577,7 @@
     }
     if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::draining) continue;
     const auto silent = context_.now - machine.lastHeard;
-    const bool cut = cutYards_.contains(machine.yard);
+    const bool cut = cutZones_.contains(machine.zone);
     if (settled && silent > silentFor && (over || !cut)) condemn(machine, "silent");
     // Overdue and out of reach as well: no need to wait for a third report.
     if (settled && silent > probeAfter && !machine.probing && !machine.unreachable &&
@@ -596,7 +600,8 @@
   if (context_.now - actingSince_ < constants::kPullInAfter || !sure()) return;
   unsigned left = std::max(constants::kPullInLeast, context_.settings.workerCallsMost() / 4);
   for (auto& [host, machine] : machines_.all()) {
-    if (machine.phase != MachinePhase::up || machine.tally != 0 || machine.pulled || machine.endpoint.empty())
+    if (machine.phase != MachinePhase::up || machine.sequence != 0 || machine.pulled ||
+        machine.endpoint.empty())
       continue;
     if (left-- == 0 || !mayCallWorker()) return;
     machine.pulled = true;
@@ -630,19 +635,20 @@
 }
 
 void Owner::useNotice(Machine& machine) {
-  const double leftS = wire::toSeconds(*machine.recallAt - context_.now);
+  const double leftS = wire::toSeconds(*machine.spotNoticeAt - context_.now);
   for (Attempt& attempt : machine.attempts) {
     if (!attempt.holdsRoom() || attempt.phase == AttemptPhase::planned) continue;
     const jobs::Job* job = jobs_.find(attempt.task.job.text);
     const double expectS = job != nullptr ? job->spec.expectS : 0;
     const double ranS =
         attempt.phase == AttemptPhase::running ? wire::toSeconds(context_.now - attempt.runningSince) : 0;
-    const bool finishes = !attempt.daemon && attempt.phase == AttemptPhase::running && expectS - ranS < leftS;
+    const bool finishes =
+        !attempt.isService && attempt.phase == AttemptPhase::running && expectS - ranS < leftS;
     if (finishes) continue;
     if (attempt.gang) {
       stopGang(attempt.task.job.text, leftS, "spot notice");
     } else {
-      stop(machine, attempt, attempt.saves ? attempt.stowS + 1 : 0);
+      stop(machine, attempt, attempt.saves ? attempt.checkpointS + 1 : 0);
     }
   }
 }
--- a/src/service/users.cpp
+++ b/src/service/users.cpp
@@ -18,7 +18,7 @@
 Json Users::shown(const jobs::Job& job) const {
   std::uint32_t done = job.tasks.empty() ? job.shownDone : job.completed;
   std::uint32_t running = job.tasks.empty() ? job.shownRunning : job.running;
-  if (job.phase == jobs::JobPhase::done) done = job.spec.loads;
+  if (job.phase == jobs::JobPhase::done) done = job.spec.taskCount;
   if (!job.open()) running = 0;
   return Json{{"ref", job.spec.ref.text},
               {"stage", wire::name(job.shownStage())},
@@ -54,16 +54,17 @@
 }
 
 std::optional<std::string> Users::cannotRun(const wire::JobSpec& spec) const {
-  const config::Team* team = context_.settings.team(spec.crew);
+  const config::Team* team = context_.settings.team(spec.team);
   if (team == nullptr) return "unknown team";
-  const bool fits =
-      std::any_of(context_.catalog->begin(), context_.catalog->end(), [&](const wire::RigType& rig) {
-        if (!spec.allowsRig(rig.label) || !spec.each.fitsIn(rig.room)) return false;
-        return spec.yard ? std::find(rig.yards.begin(), rig.yards.end(), *spec.yard) != rig.yards.end()
-                         : !rig.yards.empty();
+  const bool fits = std::any_of(
+      context_.catalog->begin(), context_.catalog->end(), [&](const wire::MachineType& machineType) {
+        if (!spec.allowsMachineType(machineType.label) || !spec.each.fitsIn(machineType.room)) return false;
+        return spec.zone ? std::find(machineType.zones.begin(), machineType.zones.end(), *spec.zone) !=
+                               machineType.zones.end()
+                         : !machineType.zones.empty();
       });
   if (!fits) return "a task fits no allowed machine type";
-  const double atOnce = spec.shape == wire::Shape::sweep ? 1 : spec.loads;
+  const double atOnce = spec.kind == wire::JobKind::array ? 1 : spec.taskCount;
   if ((team->cpusMax > 0 && spec.each.vcpus * atOnce > team->cpusMax + 1e-6) ||
       (team->gpusMax > 0 && spec.each.accelerators * atOnce > team->gpusMax + 1e-6))
     return "needs more than the team's limit";
@@ -83,11 +84,11 @@
   std::optional<std::string> why;
   if (spec) why = cannotRun(*spec);
   if (spec && !why) {
-    if (spec->rigs) {
+    if (spec->machineTypes) {
       // Types that don't exist can't matter, and a record must fit the state service's value limit.
-      std::erase_if(*spec->rigs, [this](const std::string& label) {
+      std::erase_if(*spec->machineTypes, [this](const std::string& label) {
         return std::none_of(context_.catalog->begin(), context_.catalog->end(),
-                            [&](const wire::RigType& rig) { return rig.label == label; });
+                            [&](const wire::MachineType& machineType) { return machineType.label == label; });
       });
     }
     jobs::Job probe;
@@ -129,7 +130,7 @@
            bytes < kBatchBytes) {
       const std::string ref = queue_.front();
       const auto found = submissions_.find(ref);
-      if (found != submissions_.end() && found->second.spec.shape == wire::Shape::gang &&
+      if (found != submissions_.end() && found->second.spec.kind == wire::JobKind::gang &&
           !leadership_.layoutRaised() && !raised) {
         const auto fence = leadership_.raiseLayout();
         if (!fence || transaction.writes.size() + 2 > context_.settings.stateTxnOps) {
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -19,7 +19,7 @@
       continue;
     }
     Json entry{{"write", write.key}, {"value", *write.value}};
-    if (write.permit) entry["permit"] = *write.permit;
+    if (write.leaseId) entry["permit"] = *write.leaseId;
     writes.push_back(std::move(entry));
   }
   return Json{{"if", std::move(conditions)}, {"apply", std::move(writes)}};
@@ -78,23 +78,23 @@
           {}, "POST", "/leases", Json{{"ttlMs", ttl.count()}}, 0, constants::kStateTimeout, std::move(done)});
 }
 
-void Client::endLease(Time now, std::uint64_t permit) {
+void Client::endLease(Time now, std::uint64_t leaseId) {
   // If it gets lost, the lease runs out by itself.
   submit(now, Urgency::lease,
          Queued{{},
                 "DELETE",
-                "/leases/" + std::to_string(permit),
+                "/leases/" + std::to_string(leaseId),
                 {},
                 0,
                 constants::kStateTimeout,
                 [](const wire::CallResult&) {}});
 }
 
-void Client::touchLease(Time now, std::uint64_t permit, Done done) {
+void Client::touchLease(Time now, std::uint64_t leaseId, Done done) {
   submit(now, Urgency::lease,
          Queued{{},
                 "POST",
-                "/leases/" + std::to_string(permit) + "/touch",
+                "/leases/" + std::to_string(leaseId) + "/touch",
                 Json::object(),
                 0,
                 constants::kStateTimeout,
--- a/src/state/client.hpp
+++ b/src/state/client.hpp
@@ -20,7 +20,7 @@
 struct Write {
   std::string key;
   std::optional<Json> value;  // none: delete
-  std::optional<std::uint64_t> permit;
+  std::optional<std::uint64_t> leaseId;
 };
 struct Transaction {
   std::vector<Condition> conditions;
@@ -43,8 +43,8 @@
   void changes(Time now, Urgency urgency, const std::string& prefix, std::uint64_t after,
                std::chrono::milliseconds block, Done done);
   void newLease(Time now, std::chrono::milliseconds ttl, Done done);
-  void endLease(Time now, std::uint64_t permit);
-  void touchLease(Time now, std::uint64_t permit, Done done);
+  void endLease(Time now, std::uint64_t leaseId);
+  void touchLease(Time now, std::uint64_t leaseId, Done done);
 
   // Sends what the budgets now allow, and fails what has waited too long.
   void pump(Time now);
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-constexpr std::size_t kMaxDepth = 16;         // levels; the protocol's own messages use at most 5
-constexpr std::size_t kMaxText = 200;         // bytes of a name: the state service's longest key
-constexpr std::uint32_t kMaxLoads = 100'000;  // tasks of a job, from the protocol
-constexpr std::size_t kMaxRigs = 100;         // entries of a job's `rigs`
-constexpr double kMaxAmount = 1e12;           // amounts above this are taken for garbage
+constexpr std::size_t kMaxDepth = 16;             // levels; the protocol's own messages use at most 5
+constexpr std::size_t kMaxText = 200;             // bytes of a name: the state service's longest key
+constexpr std::uint32_t kMaxTaskCount = 100'000;  // tasks of a job, from the protocol
+constexpr std::size_t kMaxMachineTypes = 100;     // entries of a job's `rigs`
+constexpr double kMaxAmount = 1e12;               // amounts above this are taken for garbage
 
 // Text that is not UTF-8 would make later formatting throw.
 bool validUtf8(std::string_view text) {
@@ -155,28 +155,28 @@
   std::string reason_;
 };
 
-LoadStage loadStage(const std::string& text) {
-  if (text == "pulling") return LoadStage::pulling;
-  if (text == "waiting") return LoadStage::waiting;
-  if (text == "running") return LoadStage::running;
-  if (text == "saving") return LoadStage::saving;
-  if (text == "ended") return LoadStage::ended;
-  return LoadStage::unfamiliar;
+TaskStage taskStage(const std::string& text) {
+  if (text == "pulling") return TaskStage::pulling;
+  if (text == "waiting") return TaskStage::waiting;
+  if (text == "running") return TaskStage::running;
+  if (text == "saving") return TaskStage::saving;
+  if (text == "ended") return TaskStage::ended;
+  return TaskStage::unfamiliar;
 }
 
-std::string_view name(LoadStage stage) {
+std::string_view name(TaskStage stage) {
   switch (stage) {
-    case LoadStage::pulling:
+    case TaskStage::pulling:
       return "pulling";
-    case LoadStage::waiting:
+    case TaskStage::waiting:
       return "waiting";
-    case LoadStage::running:
+    case TaskStage::running:
       return "running";
-    case LoadStage::saving:
+    case TaskStage::saving:
       return "saving";
-    case LoadStage::ended:
+    case TaskStage::ended:
       return "ended";
-    case LoadStage::unfamiliar:
+    case TaskStage::unfamiliar:
       return "unfamiliar";
   }
   return "ended";
@@ -201,11 +201,11 @@
 
 std::string_view name(Verb verb) {
   switch (verb) {
-    case Verb::launch:
+    case Verb::start:
       return "launch";
-    case Verb::halt:
+    case Verb::stop:
       return "halt";
-    case Verb::reap:
+    case Verb::forget:
       return "reap";
   }
   return "halt";
@@ -264,62 +264,62 @@
   if (!body.is_object()) return Result<JobSpec>::failure("body is not a map");
   JobSpec job;
   Fields fields(body);
-  std::string shape;
-  std::string rank;
-  std::uint64_t loads = 0;
+  std::string kind;
+  std::string priority;
+  std::uint64_t taskCount = 0;
   fields.text("ref", job.ref.text);
   if (fields.ok() && !validJobRef(job.ref.text)) fields.complain("ref");
-  fields.text("lane", job.lane);
-  fields.text("crew", job.crew);
-  fields.text("shape", shape);
-  fields.text("rank", rank);
-  fields.count("loads", loads);
+  fields.text("lane", job.jobClass);
+  fields.text("crew", job.team);
+  fields.text("shape", kind);
+  fields.text("rank", priority);
+  fields.count("loads", taskCount);
   fields.amount("vcpus", job.each.vcpus);
   fields.amount("accelerators", job.each.accelerators);
   fields.amount("memoryGb", job.each.memoryGb);
   fields.flag("oneZone", job.oneZone);
   fields.flag("apart", job.apart);
-  fields.flag("loaners", job.loaners);
-  fields.text("crate", job.crate);
+  fields.flag("loaners", job.spot);
+  fields.text("crate", job.image);
   fields.amount("sizeGb", job.sizeGb);
   fields.amount("expectS", job.expectS);
-  fields.amount("stowEveryS", job.stowEveryS);
-  fields.amount("stowS", job.stowS);
+  fields.amount("stowEveryS", job.checkpointEveryS);
+  fields.amount("stowS", job.checkpointS);
   fields.optionalAmount("dueS", job.dueS);
   if (fields.present("yard")) {
-    job.yard.emplace();
-    fields.text("yard", *job.yard);
+    job.zone.emplace();
+    fields.text("yard", *job.zone);
   }
   if (fields.present("rigs")) {
-    const Json& rigs = *field(body, "rigs");
-    if (!rigs.is_array() || rigs.size() > kMaxRigs) {
+    const Json& machineTypes = *field(body, "rigs");
+    if (!machineTypes.is_array() || machineTypes.size() > kMaxMachineTypes) {
       fields.complain("rigs");
     } else {
-      job.rigs.emplace();
-      for (const Json& rig : rigs) {
-        if (!rig.is_string() || rig.get_ref<const std::string&>().size() > kMaxText) {
+      job.machineTypes.emplace();
+      for (const Json& machineType : machineTypes) {
+        if (!machineType.is_string() || machineType.get_ref<const std::string&>().size() > kMaxText) {
           fields.complain("rigs");
           break;
         }
-        job.rigs->push_back(rig.get<std::string>());
+        job.machineTypes->push_back(machineType.get<std::string>());
       }
     }
   }
-  if (loads < 1 || loads > kMaxLoads) fields.complain("loads");
-  job.loads = static_cast<std::uint32_t>(loads);
-  if (shape == "sweep") {
-    job.shape = Shape::sweep;
-  } else if (shape == "daemon") {
-    job.shape = Shape::daemon;
-  } else if (shape == name(Shape::gang)) {
-    job.shape = Shape::gang;
+  if (taskCount < 1 || taskCount > kMaxTaskCount) fields.complain("loads");
+  job.taskCount = static_cast<std::uint32_t>(taskCount);
+  if (kind == "sweep") {
+    job.kind = JobKind::array;
+  } else if (kind == "daemon") {
+    job.kind = JobKind::service;
+  } else if (kind == name(JobKind::gang)) {
+    job.kind = JobKind::gang;
   } else {
     fields.complain("shape");
   }
   bool known = false;
-  for (const Rank value : {Rank::best_effort, Rank::standard, Rank::high, Rank::prod}) {
-    if (rank == name(value)) {
-      job.rank = value;
+  for (const Priority value : {Priority::best_effort, Priority::standard, Priority::high, Priority::prod}) {
+    if (priority == name(value)) {
+      job.priority = value;
       known = true;
     }
   }
@@ -330,24 +330,24 @@
 
 Json encodeJob(const JobSpec& job) {
   Json out{{"ref", job.ref.text},
-           {"lane", job.lane},
-           {"crew", job.crew},
-           {"shape", name(job.shape)},
-           {"rank", name(job.rank)},
-           {"loads", job.loads},
+           {"lane", job.jobClass},
+           {"crew", job.team},
+           {"shape", name(job.kind)},
+           {"rank", name(job.priority)},
+           {"loads", job.taskCount},
            {"vcpus", job.each.vcpus},
            {"accelerators", job.each.accelerators},
            {"memoryGb", job.each.memoryGb},
            {"oneZone", job.oneZone},
            {"apart", job.apart},
-           {"loaners", job.loaners},
-           {"crate", job.crate},
+           {"loaners", job.spot},
+           {"crate", job.image},
            {"sizeGb", job.sizeGb},
            {"expectS", job.expectS},
-           {"stowEveryS", job.stowEveryS},
-           {"stowS", job.stowS}};
-  if (job.rigs) out["rigs"] = *job.rigs;
-  if (job.yard) out["yard"] = *job.yard;
+           {"stowEveryS", job.checkpointEveryS},
+           {"stowS", job.checkpointS}};
+  if (job.machineTypes) out["rigs"] = *job.machineTypes;
+  if (job.zone) out["yard"] = *job.zone;
   if (job.dueS) out["dueS"] = *job.dueS;
   return out;
 }
@@ -358,19 +358,19 @@
   Fields fields(body);
   fields.text("host", report.host.text);
   fields.text("endpoint", report.endpoint);
-  fields.text("rig", report.rig);
-  fields.text("yard", report.yard);
-  fields.flag("loaners", report.loaners);
-  fields.count("shift", report.shift);
-  fields.count("tally", report.tally);
-  fields.count("baton", report.baton);
-  fields.optionalAmount("recallS", report.recallS);
-  const Json* loads = field(body, "loads");
-  if (loads == nullptr || !loads->is_array()) {
+  fields.text("rig", report.machineType);
+  fields.text("yard", report.zone);
+  fields.flag("loaners", report.spot);
+  fields.count("shift", report.session);
+  fields.count("tally", report.sequence);
+  fields.count("baton", report.token);
+  fields.optionalAmount("recallS", report.spotNoticeS);
+  const Json* taskCount = field(body, "loads");
+  if (taskCount == nullptr || !taskCount->is_array()) {
     fields.complain("loads");
   } else {
-    for (const Json& entry : *loads) {
-      LoadState load;
+    for (const Json& entry : *taskCount) {
+      TaskReport reported;
       const auto id = parseTaskId(textField(entry, "load").value_or(""));
       const auto attempt = countField(entry, "try");
       const auto stage = textField(entry, "stage");
@@ -378,16 +378,16 @@
         fields.complain("loads");
         break;
       }
-      load.load = *id;
-      load.attempt = *attempt;
-      load.stage = loadStage(*stage);
-      if (load.stage == LoadStage::ended) {
+      reported.task = *id;
+      reported.attempt = *attempt;
+      reported.stage = taskStage(*stage);
+      if (reported.stage == TaskStage::ended) {
         const auto why = cause(textField(entry, "cause").value_or(""));
-        if (!why) load.stage = LoadStage::unfamiliar;
-        load.cause = why.value_or(Cause::none);
+        if (!why) reported.stage = TaskStage::unfamiliar;
+        reported.cause = why.value_or(Cause::none);
       }
-      load.stored = flagField(entry, "stored").value_or(false);
-      report.loads.push_back(std::move(load));
+      reported.stored = flagField(entry, "stored").value_or(false);
+      report.tasks.push_back(std::move(reported));
     }
   }
   if (!fields.ok()) return Result<Report>::failure(fields.reason());
@@ -395,72 +395,73 @@
 }
 
 Json encodeReport(const Report& report) {
-  Json loads = Json::array();
-  for (const LoadState& load : report.loads) {
-    Json entry{{"load", load.load.str()}, {"try", load.attempt}, {"stage", name(load.stage)}};
-    if (load.stage == LoadStage::ended) entry["cause"] = name(load.cause);
-    if (load.stored) entry["stored"] = true;
-    loads.push_back(std::move(entry));
+  Json taskCount = Json::array();
+  for (const TaskReport& reported : report.tasks) {
+    Json entry{{"load", reported.task.str()}, {"try", reported.attempt}, {"stage", name(reported.stage)}};
+    if (reported.stage == TaskStage::ended) entry["cause"] = name(reported.cause);
+    if (reported.stored) entry["stored"] = true;
+    taskCount.push_back(std::move(entry));
   }
-  Json out{{"host", report.host.text}, {"endpoint", report.endpoint}, {"rig", report.rig},
-           {"yard", report.yard},      {"loaners", report.loaners},   {"shift", report.shift},
-           {"tally", report.tally},    {"baton", report.baton},       {"loads", std::move(loads)}};
-  if (report.recallS) out["recallS"] = *report.recallS;
+  Json out{{"host", report.host.text}, {"endpoint", report.endpoint}, {"rig", report.machineType},
+           {"yard", report.zone},      {"loaners", report.spot},      {"shift", report.session},
+           {"tally", report.sequence}, {"baton", report.token},       {"loads", std::move(taskCount)}};
+  if (report.spotNoticeS) out["recallS"] = *report.spotNoticeS;
   return out;
 }
 
-Json encodeOrders(std::uint64_t baton, const std::vector<Order>& orders) {
+Json encodeOrders(std::uint64_t token, const std::vector<Order>& orders) {
   Json list = Json::array();
   for (const Order& order : orders) {
-    Json entry{{"verb", name(order.verb)}, {"load", order.load.str()}, {"try", order.attempt}};
-    if (order.verb == Verb::halt) entry["windDownS"] = order.windDownS;
+    Json entry{{"verb", name(order.verb)}, {"load", order.task.str()}, {"try", order.attempt}};
+    if (order.verb == Verb::stop) entry["windDownS"] = order.graceS;
     list.push_back(std::move(entry));
   }
-  return Json{{"baton", baton}, {"orders", std::move(list)}};
+  return Json{{"baton", token}, {"orders", std::move(list)}};
 }
 
-Result<std::vector<RigType>> decodeCatalog(const Json& body) {
-  const Json* rigs = field(body, "rigs");
-  if (rigs == nullptr || !rigs->is_array()) return Result<std::vector<RigType>>::failure("no list 'rigs'");
-  std::vector<RigType> out;
-  for (const Json& entry : *rigs) {
-    RigType rig;
+Result<std::vector<MachineType>> decodeCatalog(const Json& body) {
+  const Json* machineTypes = field(body, "rigs");
+  if (machineTypes == nullptr || !machineTypes->is_array())
+    return Result<std::vector<MachineType>>::failure("no list 'rigs'");
+  std::vector<MachineType> out;
+  for (const Json& entry : *machineTypes) {
+    MachineType machineType;
     Fields fields(entry);
-    fields.text("label", rig.label);
-    fields.amount("vcpus", rig.room.vcpus);
-    fields.amount("accelerators", rig.room.accelerators);
-    fields.amount("memoryGb", rig.room.memoryGb);
-    fields.amount("cacheGb", rig.cacheGb);
-    fields.amount("pullGbPerS", rig.pullGbPerS);
-    fields.amount("rate", rig.rate);
-    fields.amount("marketPrice", rig.marketPrice);
-    fields.amount("bootS", rig.bootS);
-    const Json* yards = field(entry, "yards");
-    if (yards == nullptr || !yards->is_array()) {
+    fields.text("label", machineType.label);
+    fields.amount("vcpus", machineType.room.vcpus);
+    fields.amount("accelerators", machineType.room.accelerators);
+    fields.amount("memoryGb", machineType.room.memoryGb);
+    fields.amount("cacheGb", machineType.cacheGb);
+    fields.amount("pullGbPerS", machineType.pullGbPerS);
+    fields.amount("rate", machineType.rate);
+    fields.amount("marketPrice", machineType.marketPrice);
+    fields.amount("bootS", machineType.bootS);
+    const Json* zones = field(entry, "yards");
+    if (zones == nullptr || !zones->is_array()) {
       fields.complain("yards");
     } else {
-      for (const Json& yard : *yards)
-        if (yard.is_string()) rig.yards.push_back(yard.get<std::string>());
+      for (const Json& zone : *zones)
+        if (zone.is_string()) machineType.zones.push_back(zone.get<std::string>());
     }
-    if (!fields.ok()) return Result<std::vector<RigType>>::failure(fields.reason());
-    out.push_back(std::move(rig));
+    if (!fields.ok()) return Result<std::vector<MachineType>>::failure(fields.reason());
+    out.push_back(std::move(machineType));
   }
   return out;
 }
 
-Json encodeCatalog(const std::vector<RigType>& rigs) {
+Json encodeCatalog(const std::vector<MachineType>& machineTypes) {
   Json list = Json::array();
-  for (const RigType& rig : rigs) {
-    list.push_back(Json{{"label", rig.label},
-                        {"vcpus", rig.room.vcpus},
-                        {"accelerators", rig.room.accelerators},
-                        {"memoryGb", rig.room.memoryGb},
-                        {"cacheGb", rig.cacheGb},
-                        {"pullGbPerS", rig.pullGbPerS},
-                        {"rate", rig.rate},
-                        {"marketPrice", rig.marketPrice},
-                        {"bootS", rig.bootS},
-                        {"yards", rig.yards}});
+  for (const MachineType& machineType : machineTypes) {
+    list.push_back(Json{{"label", machineType.label},
+                        {"vcpus", machineType.room.vcpus},
+                        {"accelerators", machineType.room.accelerators},
+                        {"memoryGb", machineType.room.memoryGb},
+                        {"cacheGb", machineType.cacheGb},
+                        {"pullGbPerS", machineType.pullGbPerS},
+                        {"rate", machineType.rate},
+                        {"marketPrice", machineType.marketPrice},
+                        {"bootS", machineType.bootS},
+                        {"yards", machineType.zones}});
   }
   return Json{{"rigs", std::move(list)}};
 }
@@ -471,9 +472,9 @@
   std::string stage;
   fields.text("ref", host.ref.text);
   fields.text("endpoint", host.endpoint, true);
-  fields.text("rig", host.rig);
-  fields.text("yard", host.yard);
-  fields.flag("loaners", host.loaners);
+  fields.text("rig", host.machineType);
+  fields.text("yard", host.zone);
+  fields.flag("loaners", host.spot);
   fields.text("stage", stage);
   host.ageS = amountField(body, "ageS").value_or(0);
   if (stage == "starting") {
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -41,9 +41,9 @@
 Json encodeJob(const JobSpec& job);
 Result<Report> decodeReport(const Json& body);
 Json encodeReport(const Report& report);
-Json encodeOrders(std::uint64_t baton, const std::vector<Order>& orders);
-Result<std::vector<RigType>> decodeCatalog(const Json& body);
-Json encodeCatalog(const std::vector<RigType>& rigs);
+Json encodeOrders(std::uint64_t token, const std::vector<Order>& orders);
+Result<std::vector<MachineType>> decodeCatalog(const Json& body);
+Json encodeCatalog(const std::vector<MachineType>& machineTypes);
 Result<HostEntry> decodeHost(const Json& body);
 
 // Typed look-ups that never throw on a wrong type.
--- a/src/wire/types.cpp
+++ b/src/wire/types.cpp
@@ -28,27 +28,27 @@
   return id;
 }
 
-std::string_view name(Shape shape) {
-  switch (shape) {
-    case Shape::sweep:
+std::string_view name(JobKind kind) {
+  switch (kind) {
+    case JobKind::array:
       return "sweep";
-    case Shape::daemon:
+    case JobKind::service:
       return "daemon";
-    case Shape::gang:
+    case JobKind::gang:
       return "ensemble";
   }
   return "sweep";
 }
 
-std::string_view name(Rank rank) {
-  switch (rank) {
-    case Rank::best_effort:
+std::string_view name(Priority priority) {
+  switch (priority) {
+    case Priority::best_effort:
       return "best_effort";
-    case Rank::standard:
+    case Priority::standard:
       return "standard";
-    case Rank::high:
+    case Priority::high:
       return "high";
-    case Rank::prod:
+    case Priority::prod:
       return "prod";
   }
   return "standard";
@@ -87,8 +87,9 @@
          memoryGb <= room.memoryGb + kRoundingSlack;
 }
 
-bool JobSpec::allowsRig(std::string_view rig) const {
-  return !rigs || std::find(rigs->begin(), rigs->end(), rig) != rigs->end();
+bool JobSpec::allowsMachineType(std::string_view machineType) const {
+  return !machineTypes ||
+         std::find(machineTypes->begin(), machineTypes->end(), machineType) != machineTypes->end();
 }
 
 }  // namespace reachhoist::wire
--- a/src/wire/types.hpp
+++ b/src/wire/types.hpp
@@ -30,11 +30,11 @@
 bool validJobRef(std::string_view text);
 
 // gang: all tasks run at the same time or none does; the wire calls it `ensemble`.
-enum class Shape { sweep, daemon, gang };
-enum class Rank { best_effort, standard, high, prod };
+enum class JobKind { array, service, gang };
+enum class Priority { best_effort, standard, high, prod };
 enum class Stage { pending, running, done, cancelled };
-std::string_view name(Shape shape);
-std::string_view name(Rank rank);
+std::string_view name(JobKind kind);
+std::string_view name(Priority priority);
 std::string_view name(Stage stage);
 inline bool isFinal(Stage stage) { return stage == Stage::done || stage == Stage::cancelled; }
 
@@ -51,36 +51,36 @@
 
 struct JobSpec {
   JobRef ref;
-  std::string lane;
-  std::string crew;
-  Shape shape = Shape::sweep;
-  Rank rank = Rank::standard;
-  std::uint32_t loads = 1;
+  std::string jobClass;
+  std::string team;
+  JobKind kind = JobKind::array;
+  Priority priority = Priority::standard;
+  std::uint32_t taskCount = 1;
   Resources each;
-  std::optional<std::vector<std::string>> rigs;
-  std::optional<std::string> yard;
+  std::optional<std::vector<std::string>> machineTypes;
+  std::optional<std::string> zone;
   bool oneZone = false;
   bool apart = false;
-  bool loaners = false;
-  std::string crate;
+  bool spot = false;
+  std::string image;
   double sizeGb = 0;
   double expectS = 0;
-  double stowEveryS = 0;
-  double stowS = 0;
+  double checkpointEveryS = 0;
+  double checkpointS = 0;
   std::optional<double> dueS;
 
-  bool allowsRig(std::string_view rig) const;
+  bool allowsMachineType(std::string_view machineType) const;
 };
 
 // unfamiliar: a state or cause of a later protocol. The task counts as still there.
-enum class LoadStage { pulling, waiting, running, saving, ended, unfamiliar };
+enum class TaskStage { pulling, waiting, running, saving, ended, unfamiliar };
 // peers, alone: a gang's task whose gang lost another task, or was not complete in time.
 enum class Cause { none, done, halted, error, noRoom, inUse, unknown, peers, alone };
 
-struct LoadState {
-  TaskId load;
+struct TaskReport {
+  TaskId task;
   std::uint64_t attempt = 0;
-  LoadStage stage = LoadStage::pulling;
+  TaskStage stage = TaskStage::pulling;
   Cause cause = Cause::none;
   bool stored = false;
 };
@@ -88,25 +88,25 @@
 struct Report {
   HostName host;
   std::string endpoint;
-  std::string rig;
-  std::string yard;
-  bool loaners = false;
-  std::uint64_t shift = 0;
-  std::uint64_t tally = 0;
-  std::uint64_t baton = 0;
-  std::optional<double> recallS;
-  std::vector<LoadState> loads;
+  std::string machineType;
+  std::string zone;
+  bool spot = false;
+  std::uint64_t session = 0;
+  std::uint64_t sequence = 0;
+  std::uint64_t token = 0;
+  std::optional<double> spotNoticeS;
+  std::vector<TaskReport> tasks;
 };
 
-enum class Verb { launch, halt, reap };
+enum class Verb { start, stop, forget };
 struct Order {
-  Verb verb = Verb::launch;
-  TaskId load;
+  Verb verb = Verb::start;
+  TaskId task;
   std::uint64_t attempt = 0;
-  double windDownS = 0;
+  double graceS = 0;
 };
 
-struct RigType {
+struct MachineType {
   std::string label;
   Resources room;
   double cacheGb = 0;
@@ -114,16 +114,16 @@
   double rate = 0;
   double marketPrice = 0;
   double bootS = 0;
-  std::vector<std::string> yards;
+  std::vector<std::string> zones;
 };
 
 enum class HostStage { starting, running, failed };
 struct HostEntry {
   HostName ref;
   std::string endpoint;
-  std::string rig;
-  std::string yard;
-  bool loaners = false;
+  std::string machineType;
+  std::string zone;
+  bool spot = false;
   HostStage stage = HostStage::starting;
   double ageS = 0;
 };
