--- a/tests/unit/earlier_versions_test.cpp
+++ b/tests/unit/earlier_versions_test.cpp
@@ -111,6 +111,16 @@
   EXPECT_EQ(rewritten(page).dump(), page.dump());
 }
 
+TEST(Production, PagesNameMachinesAndAttempts) {
+  const auto hosts = machines::decodePage(fixture("records.json")["placed/0"]).value();
+  ASSERT_EQ(hosts.size(), 3U);
+  const machines::PagedHost& last = hosts.back();
+  EXPECT_EQ(last.host, "vm-000002");
+  EXPECT_TRUE(last.spot);
+  EXPECT_EQ(last.placed.at(1).first.str(), "job-000412/5");
+  EXPECT_EQ(last.placed.at(1).second, (5ULL << 20U) + 19);
+}
+
 TEST(FirstGangs, AnAttemptOfAGangIsWholeInItsPages) {
   const Json records = fixtureOf("first-gangs", "state.json");
   std::set<std::uint32_t> tasks;
