--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -31,8 +31,14 @@
 inline constexpr milliseconds kAbstain =
     20s;  // after leaving the lead to a sibling; it needs as long to be heard
 inline constexpr milliseconds kSelfCutPatience =
-    3s;                                  // nearly all machines overdue for this long more: relay fails too
-inline constexpr int kSelfCutLeast = 8;  // machines that must be up for such a judgement
+    3s;  // nearly all machines overdue for this long more: relay fails too
+inline constexpr std::size_t kDirectSamples =
+    4;  // machines asked at once whether this controller reaches them itself
+inline constexpr milliseconds kUnheardPatience =
+    8s;  // a new leader that hears neither workers nor siblings: workers need 5 s to give up the earlier one
+inline constexpr milliseconds kStandstill =
+    1s;  // between two steps of a controller: ticks come every 50 ms, so it did not run in between
+inline constexpr int kSelfCutLeast = 8;                 // machines that must be up for such a judgement
 inline constexpr milliseconds kElectionSpread = 200ms;  // random addition, so that rivals don't collide
 
 // --- Time limits of calls -------------------------------------------------------------------------------
@@ -141,6 +147,16 @@
 inline constexpr double kMoveAtLease =
     0.7;  // of the lease, silent in a cut zone: its services move if they can
 inline constexpr double kBootPatience = 3.0;  // times bootS before a machine counts as never coming
+inline constexpr double kBootUsual = 1.5;  // times bootS within which machines usually come, by the protocol
+inline constexpr milliseconds kBootSlack = 5s;  // beyond that, for the first report to arrive
+inline constexpr double kBootSpread =
+    1.8;  // times the median of recent boots: those seen so far are the quicker ones
+inline constexpr int kBootPatienceTimes = 4;  // times the median of recent boots before a machine is given up
+inline constexpr int kBootAllSlow = 2;  // times the patience where none rented along with it has come either
+inline constexpr milliseconds kBootMemory = 5min;    // boots older than this tell nothing of the next
+inline constexpr std::size_t kBootsRemembered = 64;  // for each type and zone
+inline constexpr std::size_t kBootsTelling = 4;      // fewer recent boots tell nothing
+inline constexpr milliseconds kBootCohort = 15s;     // machines rented within this of each other boot alike
 inline constexpr milliseconds kBootPatienceLeast =
     60s;                                          // least patience; some machines take several times longer
 inline constexpr milliseconds kPullInAfter = 3s;  // after loading: machines not heard from are asked directly
@@ -150,10 +166,14 @@
 inline constexpr milliseconds kGoodAfter = 5s;        // running this long elsewhere clears a job
 inline constexpr milliseconds kJobErrorBackoff = 2s;  // first pause of a job whose tasks fail; doubles
 inline constexpr milliseconds kJobErrorBackoffMost = 30s;  // longest pause of such a job
-inline constexpr int kWrongJobMachines = 3;         // machines a job must fail on before it is held for wrong
-inline constexpr milliseconds kListEvery = 10s;     // machine list: finds strangers and failed machines
-inline constexpr milliseconds kCatalogEvery = 60s;  // prices move slowly
-inline constexpr milliseconds kCatalogRetry = 2s;   // until the machine types are known once
+inline constexpr int kJobErrorDoublings = 4;               // of the first pause, up to the longest
+inline constexpr std::size_t kWrongJobMachines =
+    3;                                              // machines a job must fail on before it is held for wrong
+inline constexpr std::uint32_t kWrongJobTrial = 2;  // tasks of such a job tried at once: few machines suffice
+inline constexpr std::size_t kFailureHostsMost = 32;  // machines remembered that a job has failed on
+inline constexpr milliseconds kListEvery = 10s;       // machine list: finds strangers and failed machines
+inline constexpr milliseconds kCatalogEvery = 60s;    // prices move slowly
+inline constexpr milliseconds kCatalogRetry = 2s;     // until the machine types are known once
 
 // --- Fleet: the ordinary path (DESIGN) ------------------------------------------------------------------
 inline constexpr milliseconds kSizingRound = 30s;         // SAIR's decision interval
--- a/src/fleet/coming.cpp
+++ b/src/fleet/coming.cpp
@@ -25,12 +25,22 @@
   return out;
 }
 
+bool straggles(const FleetWorld& world, const BootCohorts& cohorts, const Machine& machine) {
+  if (machine.phase != machines::MachinePhase::booting) return false;
+  double bootS = 0;
+  for (const wire::MachineType& machineType : world.catalog)
+    if (machineType.label == machine.machineType) bootS = machineType.bootS;
+  const auto expected = world.boots.expected(machine.machineType, machine.zone, bootS, world.now);
+  return world.now - machine.rentedAt > expected && cohorts.leftBehind(machine);
+}
+
 std::vector<Coming> comingMachines(const FleetWorld& world) {
   std::vector<Coming> out;
+  const BootCohorts cohorts(world.machines);
   for (const Machine* machine : world.machines) {
     const PoolKey key{machine->machineType, machine->zone, machine->spot};
     if (machine->phase == machines::MachinePhase::booting) {
-      out.push_back(Coming{key, machine->total});
+      if (!straggles(world, cohorts, *machine)) out.push_back(Coming{key, machine->total});
     } else if (machine->phase == machines::MachinePhase::up && !machine->echoed && !machine->spotNoticeAt) {
       out.push_back(Coming{key, machine->room()});
     }
--- a/src/fleet/coming.hpp
+++ b/src/fleet/coming.hpp
@@ -36,7 +36,11 @@
 std::vector<std::pair<PoolKey, const wire::MachineType*>> allPools(
     const std::vector<wire::MachineType>& catalog);
 
-// Booting, asked for, or up and not heard from both ways yet.
+// On its way, late, and left behind by those that were rented with it: it may never come.
+bool straggles(const FleetWorld& world, const BootCohorts& cohorts, const Machine& machine);
+
+// Booting, asked for, or up and not heard from both ways yet. Stragglers are left out: their work needs
+// another machine.
 std::vector<Coming> comingMachines(const FleetWorld& world);
 
 // Takes as many of the queued tasks as the machine has room for.
--- a/src/fleet/pools.cpp
+++ b/src/fleet/pools.cpp
@@ -16,11 +16,13 @@
   }
   std::map<PoolKey, std::pair<double, double>> cpus;  // used, total
   std::map<PoolKey, SpareRoom> spare;                 // each pool's step is judged by itself
+  const BootCohorts cohorts(world.machines);
   for (const Machine* machine : world.machines) {
     if (!counts(*machine)) continue;
     const auto found = views.find(PoolKey{machine->machineType, machine->zone, machine->spot});
     if (found == views.end()) continue;
     ++found->second.machines;
+    if (straggles(world, cohorts, *machine)) ++found->second.late;
     if (machine->phase != machines::MachinePhase::up) continue;
     if (machine->empty()) {
       ++found->second.idle;
--- a/src/fleet/pools.hpp
+++ b/src/fleet/pools.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cloud/client.hpp"
+#include "fleet/boots.hpp"
 #include "placement/planner.hpp"
 
 namespace reachhoist::fleet {
@@ -25,6 +26,7 @@
   int queuedTasks = 0;
   double ratePerHour = 0;  // of one machine
   bool refused = false;    // its last rental was refused
+  int late = 0;            // booting, and should be up by now
 };
 
 struct Rental {
@@ -44,6 +46,7 @@
   std::map<PoolKey, std::size_t> pending;    // asked for, no answer yet
   std::set<std::string> cut;                 // zones that seem cut off
   std::vector<placement::Unmet> endangered;  // services on machines there, whose leases are running out
+  BootHistory boots{};
 };
 
 // The free CPUs of ordinary machines, and those that must stay free for the next services: only machines
--- a/src/fleet/reserve.cpp
+++ b/src/fleet/reserve.cpp
@@ -66,6 +66,7 @@
         continue;
       // Price of a CPU; the zone with the least room breaks ties.
       const double cost = machineType->rate / machineType->room.vcpus *
+                          world.boots.costFactor(key.machineType, key.zone, world.now) *
                           (1 + 0.001 * room.freeByZone[key.zone] / machineType->room.vcpus);
       if (cost >= bestCost) continue;
       bestCost = cost;
--- a/src/fleet/shortfall.cpp
+++ b/src/fleet/shortfall.cpp
@@ -132,6 +132,7 @@
       // Price of a task's room; a larger pool in one zone breaks ties the other way, to spread the risk.
       const double cost = price(*machineType, key.spot) /
                           std::min(fit, static_cast<int>(queued.unmet.tasks)) *
+                          world_.boots.costFactor(key.machineType, key.zone, world_.now) *
                           (1 + 0.001 * (size == sizes_.end() ? 0 : size->second));
       if (cost >= bestCost) continue;
       bestCost = cost;
--- a/src/fleet/sizing.cpp
+++ b/src/fleet/sizing.cpp
@@ -48,6 +48,8 @@
 
 void Sizing::score(const PoolView& pool, PoolState& state) {
   if (!state.open) return;
+  // Machines that never came show nothing of what the step would have brought.
+  if (state.open->before.units > 0 && pool.late > 0) return state.open.reset();
   Outcome outcome = state.open->before;
   outcome.waitAfterS = pool.queueWaitS;
   outcome.costAfter = pool.machines * pool.ratePerHour;
--- /dev/null
+++ b/src/jobs/failures.cpp
@@ -0,0 +1,27 @@
+#include "jobs/failures.hpp"
+
+#include <algorithm>
+
+#include "config/constants.hpp"
+
+namespace reachhoist::jobs {
+
+void Failures::note(const std::string& host, Duration ran) {
+  // A job that fails everywhere must not remember every machine of a large fleet.
+  if (hosts_.size() < constants::kFailureHostsMost) hosts_.insert(host);
+  longestRun_ = std::max(longestRun_, ran);
+}
+
+bool Failures::widespread() const { return hosts_.size() >= constants::kWrongJobMachines; }
+
+void Failures::blameJob(Time now) {
+  // The tasks that were started together fail together: they are one trial.
+  if (now < heldUntil_) return;
+  const auto pause = constants::kJobErrorBackoff * (1 << std::min(trials_, constants::kJobErrorDoublings));
+  heldUntil_ = now + std::min<Duration>(pause, constants::kJobErrorBackoffMost);
+  ++trials_;
+}
+
+void Failures::absolve() { *this = Failures{}; }
+
+}  // namespace reachhoist::jobs
--- a/src/jobs/jobs.cpp
+++ b/src/jobs/jobs.cpp
@@ -89,8 +89,7 @@
   placed = running = completed = firstWaiting = 0;
   doneStamps.clear();
   dirtyChunks.clear();
-  errors = 0;
-  errorHosts.clear();
+  failures.absolve();
   heldUntil = Time{};
   gang = Gang{};
   waitingSince = lastPlaced = now;
@@ -104,7 +103,7 @@
   waiting = placed = running = completed = firstWaiting = 0;
   doneStamps.clear();
   dirtyChunks.clear();
-  errorHosts.clear();
+  failures.absolve();
 }
 
 std::string Job::doneChunk(std::uint32_t chunk) const {
--- a/src/jobs/jobs.hpp
+++ b/src/jobs/jobs.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "config/settings.hpp"
+#include "jobs/failures.hpp"
 #include "wire/exchange.hpp"
 
 namespace reachhoist::jobs {
@@ -61,9 +62,8 @@
   std::uint32_t firstWaiting = 0;                     // no task below this one is waiting
   std::map<std::uint32_t, std::uint64_t> doneStamps;  // chunk -> stamp of its key
   std::set<std::uint32_t> dirtyChunks;                // completions not durable yet
-  int errors = 0;
-  std::set<std::string> errorHosts;
-  Time heldUntil{};
+  Failures failures;
+  Time heldUntil{};  // a gang whose attempt failed is not tried again before
   Time waitingSince{};
   Time lastPlaced{};  // or begun to be owned
   Gang gang;
--- a/src/machines/machines.cpp
+++ b/src/machines/machines.cpp
@@ -65,6 +65,12 @@
   return room;
 }
 
+void Machine::clearErrors() {
+  errorsInRow = 0;
+  errorJobs.clear();
+  suspectUntil = {};
+}
+
 bool Machine::empty() const {
   return std::none_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.holdsRoom(); });
 }
--- a/src/machines/machines.hpp
+++ b/src/machines/machines.hpp
@@ -83,7 +83,9 @@
   const char* returnReason = "";
   Time rentedAt{};
   Time upSince{};
+  Time listedUpAt{};    // the first list that named it as running
   Time lastHeard{};     // by report: that it can be asked doesn't keep its lease
+  Time lastDirect{};    // by report or answer of its own to us, not by way of a sibling
   Time lastAnswered{};  // no answer that renews its lease was given after this
   Time idleSince{};
   Time nextDirect{};
@@ -98,6 +100,8 @@
   void to(MachinePhase next, Time now);
   wire::Resources room() const;
   bool empty() const;  // nothing holds room
+  // It is not suspected of failing tasks any more.
+  void clearErrors();
   Attempt* find(const wire::TaskId& task, std::uint64_t number);
   bool fetching(const std::string& image) const;
   bool has(const std::string& image) const { return images.contains(image); }
--- a/src/placement/round.cpp
+++ b/src/placement/round.cpp
@@ -59,8 +59,7 @@
 }
 
 bool Round::avoids(const Job& job, const Machine& machine) {
-  return !job.errorHosts.empty() && job.errorHosts.contains(machine.host.text) &&
-         static_cast<int>(job.errorHosts.size()) < constants::kWrongJobMachines;
+  return !job.failures.jobAtFault() && job.failures.failedOn(machine.host.text);
 }
 
 TeamUse Round::use(const std::string& team) const {
@@ -180,8 +179,9 @@
 }
 
 void Round::placeJob(Job& job, Tier tier) {
-  if (job.waiting == 0 || job.heldUntil > world_.now) return;
+  if (job.waiting == 0 || std::max(job.heldUntil, job.failures.heldUntil()) > world_.now) return;
   if (job.isGang()) return placeGang(job);
+  if (job.failures.jobAtFault()) return tryAgain(job);
   const std::uint32_t most =
       tier == Tier::overlooked ? std::max(1U, job.waiting / constants::kOverlookedShare) : job.waiting;
   bool blockedByTeam = false;
@@ -204,6 +204,12 @@
     makeRoom(job, std::min(left, most));
 }
 
+void Round::tryAgain(Job& job) {
+  if (job.placed >= constants::kWrongJobTrial || jobs_ >= world_.maxJobs) return;
+  bool blockedByTeam = false;
+  if (fill(job, constants::kWrongJobTrial - job.placed, blockedByTeam) > 0) ++jobs_;
+}
+
 void Round::take(Bin& bin, Job& job, std::uint32_t index) {
   bin.room -= job.spec.each;
   if (!bin.brings(job.spec.image)) bin.planned.push_back(&job.spec.image);
--- a/src/placement/round.hpp
+++ b/src/placement/round.hpp
@@ -53,7 +53,7 @@
   bool canBeTold(const Machine& machine) const;
   // Remembers the gangs that have a task on it.
   void noteUntold(const Machine& machine);
-  // What has failed on a machine is tried elsewhere, unless it has failed everywhere.
+  // What has failed on a machine is tried elsewhere, unless the job is at fault.
   static bool avoids(const Job& job, const Machine& machine);
   // What the team uses now, this round's placements included.
   TeamUse use(const std::string& team) const;
@@ -87,6 +87,9 @@
   void makeRoomForGang(const Job& job);
   // Places what fits; asks for room, and for machines, for the rest.
   void placeJob(Job& job, Tier tier);
+  // A few tasks of a job that is held to be at fault, where there is room: nothing is stopped or rented for
+  // it.
+  void tryAgain(Job& job);
   // Gives the task its place in this round.
   void take(Bin& bin, Job& job, std::uint32_t index);
   bool overGuarantee(const std::string& name) const;
--- a/src/service/context.hpp
+++ b/src/service/context.hpp
@@ -54,6 +54,11 @@
   state::Client state;
   Time now{};
   std::int64_t wallMs = 0;
+  // When this process last went on after it had stood still while the clocks ran: what was known before is
+  // void.
+  Time resumedAt{};
+  Time siblingHeardAt{};      // the latest word of any sibling
+  Time siblingConfirmedAt{};  // the latest word of one that has the state service
   std::optional<std::vector<wire::MachineType>> catalog;
   std::vector<Reply> replies;
   std::vector<PeerSend> peerOut;
--- a/src/service/controller.cpp
+++ b/src/service/controller.cpp
@@ -1,6 +1,7 @@
 #include "service/controller.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace reachhoist::service {
 
@@ -53,6 +54,17 @@
 void Controller::at(Time now, std::int64_t wallMs) {
   context_.now = now;
   context_.wallMs = wallMs;
+  const Time before = std::exchange(lastActive_, now);
+  if (before != Time{} && now - before > constants::kStandstill) resumed(now - before);
+}
+
+void Controller::resumed(wire::Duration away) {
+  context_.resumedAt = context_.now;
+  context_.event(Level::info, "resumed", {{"away_s", wire::toSeconds(away)}});
+  for (auto& [label, heard] : heard_) heard.at += away;
+  context_.siblingHeardAt += away;
+  context_.siblingConfirmedAt += away;
+  if (owner_) owner_->resumed(away);
 }
 
 void Controller::start(Time now, std::int64_t wallMs) {
@@ -174,7 +186,7 @@
   }
   if (leadership_.leading()) {
     if (!owner_ || ownerDue_) return context_.later(request);
-    auto answer = owner_->onReport(*report);
+    auto answer = owner_->onReport(*report, Owner::Source::report);
     if (answer.status != 200) return context_.later(request);
     return context_.reply(request, 200, std::move(answer.body));
   }
@@ -237,7 +249,10 @@
   const auto report =
       decoded ? wire::decodeReport(*decoded) : wire::Result<wire::Report>::failure(decoded.reason());
   if (report && owner_ && !ownerDue_) {
-    auto given = owner_->onReport(*report);
+    auto given = owner_->onReport(*report, Owner::Source::relay);
+    if (context_.logs(Level::debug))
+      context_.event(Level::debug, "relayed",
+                     {{"machine", report->host.text}, {"through", from}, {"status", given.status}});
     answer.status = given.status;
     if (given.status == 200) answer.body = wire::encodeBody(given.body);
   }
@@ -256,6 +271,8 @@
 
 void Controller::onHello(const std::string& from, const peer::Hello& hello) {
   heard_[from] = Heard{context_.now, hello.confirmed};
+  context_.siblingHeardAt = context_.now;
+  if (hello.confirmed) context_.siblingConfirmedAt = context_.now;
   if (!hello.leading || hello.term <= toldTerm_) return;
   toldTerm_ = hello.term;
   toldLeader_ = from;
--- a/src/service/controller.hpp
+++ b/src/service/controller.hpp
@@ -43,6 +43,8 @@
 
  private:
   void at(Time now, std::int64_t wallMs);
+  // The process stood still for so long: nothing was heard, which says nothing about others.
+  void resumed(wire::Duration away);
   void onJob(const std::string& key, const Json* value, std::uint64_t stamp);
   void applied(jobs::JobTable::Change change, const std::string& ref);
   void report(std::uint64_t request, const std::string& body);
@@ -67,6 +69,7 @@
   std::uint64_t ownerTerm_ = 0;
   std::vector<std::uint64_t> ownerStamps_;
   bool ownerDue_ = false;
+  Time lastActive_{};
   Time nextConfirm_{};
   Time nextBeat_{};
   int beats_ = 0;
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -53,15 +53,30 @@
   leadership_.resign(why);
 }
 
+// While this process stood still another may have been elected: it asks before it acts again.
+bool Owner::reconfirmed() const {
+  return std::min(leadership_.confirmedAt(), jobFeed_.confirmedAt()) >= context_.resumedAt;
+}
+
 bool Owner::mayAnswer() const {
   // Ownership alone is not enough: the read that confirms must also have brought in every cancellation.
   const Time confirmed = std::min(leadership_.confirmedAt(), jobFeed_.confirmedAt());
-  return context_.now - confirmed < context_.settings.answerWindow();
+  return reconfirmed() && context_.now - confirmed < context_.settings.answerWindow();
 }
 
 bool Owner::sure() const {
   const Time confirmed = std::min(leadership_.confirmedAt(), jobFeed_.confirmedAt());
-  return context_.now - confirmed < constants::kLeaderTtl;
+  return reconfirmed() && context_.now - confirmed < constants::kLeaderTtl;
+}
+
+void Owner::resumed(wire::Duration away) {
+  // Nothing was heard because nobody listened. What an earlier answer renewed goes on running out, though.
+  for (auto& [host, machine] : machines_.all()) {
+    machine.lastHeard += away;
+    machine.lastDirect += away;
+    if (machine.unechoedSince != Time{}) machine.unechoedSince += away;
+  }
+  cuts_.reset();
 }
 
 std::vector<state::Condition> Owner::partConditions() const {
@@ -157,7 +172,8 @@
     machine.zone = paged.zone;
     machine.spot = paged.spot;
     machine.phase = MachinePhase::up;
-    machine.rentedAt = machine.lastHeard = machine.upSince = machine.idleSince = context_.now;
+    machine.rentedAt = machine.lastHeard = machine.lastDirect = machine.upSince = machine.idleSince =
+        context_.now;
     // Until this moment plus its window an earlier owner may have renewed the worker's lease.
     machine.lastAnswered = electedAt_ + context_.settings.answerWindow();
     for (const auto& [task, attemptNumber] : paged.placed) {
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -48,7 +48,11 @@
     int status = 503;
     Json body;
   };
-  ReportAnswer onReport(const wire::Report& report);
+  // How word of a machine came: its report to us, its report to a sibling, or its answer to a direct call.
+  enum class Source { report, relay, direct };
+  ReportAnswer onReport(const wire::Report& report, Source source);
+  // This process stood still for so long.
+  void resumed(wire::Duration away);
 
   // For display by the others: jobs whose counts changed since the last call, or all of them.
   peer::Progress progress(bool all);
@@ -70,12 +74,15 @@
   // Confirmed so lately that nobody else can lead yet. What costs money or condemns machines needs it: an
   // owner that is cut off would rent and condemn beside the next one.
   bool sure() const;
+  // Asked the state service, with an answer, since this process last stood still.
+  bool reconfirmed() const;
+  // Since when this owner could hear its machines without a break.
+  Time listeningSince() const { return std::max(actingSince_, context_.resumedAt); }
   std::uint64_t tokenOf(const Machine& machine) const { return cluster::token(term_, machine.fence); }
   // Every durable change of an owner depends on its parts.
   std::vector<state::Condition> partConditions() const;
 
   // --- owner_evidence.cpp, owner_faults.cpp, owner_commands.cpp, owner_reachability.cpp
-  enum class Source { report, direct };
   void takeEvidence(Machine& machine, const wire::Report& report, Source source);
   void takeTaskReport(Machine& machine, Attempt& attempt, const wire::TaskReport& reported);
   void takeAbsence(Machine& machine, const wire::Report& report);
@@ -84,9 +91,13 @@
   void unplace(jobs::Job& job, const wire::TaskId& task);
   void releaseAll(Machine& machine, const char* why);
   void dropFree(Machine& machine);
-  void noteError(Machine& machine, Attempt& attempt);
-  bool provenGood(const std::string& ref, const Machine& blamed) const;
+  void noteError(Machine& machine, const Attempt& attempt);
+  void clearBlame(const std::string& ref);
+  // Whether some task of the job has completed, or has run for longer than those that failed, on any machine
+  // but one.
+  bool doesWell(const std::string& ref, std::optional<std::reference_wrapper<const Machine>> except) const;
   void judge(Machine& machine);
+  void judgeJobs();
   void complete(const wire::TaskId& task);
   bool durablyDone(const wire::TaskId& task);
   void stop(Machine& machine, Attempt& attempt, double graceS);
@@ -100,10 +111,13 @@
   void onDirect(const std::string& host, std::uint64_t token, std::uint64_t session,
                 const std::vector<wire::Order>& orders, const wire::CallResult& result);
   void watchSilence();
+  // Leaves the lead to a sibling if workers don't reach this controller; true if it has.
+  bool handOver();
   void moveServices();
   // Placed work that its users miss at once when it ends.
   static bool holdsService(const Attempt& attempt);
   void pullIn();
+  void sampleDirect();
   void inspect(Machine& machine);
   void useNotice(Machine& machine);
   void setRunning(Attempt& attempt, AttemptPhase next);
@@ -149,6 +163,8 @@
   void retire(Machine& machine, const char* why, bool gently = false);
   void condemn(Machine& machine, const char* why);
   void moveRetirements();
+  void giveUpOnBoots();
+  double bootSecondsOf(const Machine& machine) const;
   void sizeFleet();
   fleet::FleetWorld fleetWorld();
   // Services on machines that are cut off, by job.
@@ -193,6 +209,7 @@
   state::Committer retiring_;
   state::Committer cleaning_;
   std::set<std::string> finishedJobs_;  // whose final stage is not durable
+  std::set<std::string> faultyJobs_;    // held to be at fault themselves
   std::set<std::string> dirtyJobs_;     // with completions that are not durable
   std::deque<std::string> dirtyQueue_;  // the same, longest dirty first
   std::size_t workerCalls_ = 0;         // direct commands and questions to workers under way
@@ -202,6 +219,7 @@
   Time nextPlan_{};
   Time replanAt_{};
   Time nextSilenceCheck_{};
+  Time nextBootCheck_{};
   ZoneCuts cuts_;
   std::vector<placement::Unmet> unmet_;
   std::set<std::string> recordDeletes_;
@@ -210,6 +228,7 @@
 
   std::unique_ptr<cloud::Client> cloud_;
   fleet::Sizing sizing_;
+  fleet::BootHistory boots_;
   Time nextCopy_{};
   std::map<cloud::PoolKey, Time> refusedUntil_;
   std::map<cloud::PoolKey, std::set<std::string>>
--- a/src/service/owner_commands.cpp
+++ b/src/service/owner_commands.cpp
@@ -58,7 +58,7 @@
           rest.push_back(order);
         } else if (attempt.directs == 0 && sure() && (!attempt.gang || gangMayStart(attempt))) {
           // Nothing is begun on old news: another controller may have confirmed the job's cancellation since.
-          if (via == Source::report && attempt.answeredAt == 0) attempt.answeredAt = sequence;
+          if (via != Source::direct && attempt.answeredAt == 0) attempt.answeredAt = sequence;
           rest.push_back(order);
         }
         break;
--- a/src/service/owner_evidence.cpp
+++ b/src/service/owner_evidence.cpp
@@ -14,7 +14,7 @@
 }
 }  // namespace
 
-Owner::ReportAnswer Owner::onReport(const wire::Report& report) {
+Owner::ReportAnswer Owner::onReport(const wire::Report& report, Source source) {
   if (state_ != State::acting || resigned_) return {};
   if (!mayAnswer()) {
     // It is there all the same: after a long outage machines that kept reporting are not given up for silent.
@@ -34,6 +34,7 @@
     machine->rentedAt = context_.now;
     machine->lastAnswered = electedAt_ + context_.settings.answerWindow();
     machine->lastHeard = context_.now;
+    machine->lastDirect = context_.now;
   }
   if (!newer(*machine, report)) return {};
   if (machine->phase == MachinePhase::returning || machine->phase == MachinePhase::gone) return {};
@@ -44,17 +45,18 @@
   describe(*machine);
   if (machine->phase == MachinePhase::booting) {
     machine->to(MachinePhase::up, context_.now);
+    boots_.came(report.machineType, report.zone, context_.now - machine->rentedAt, context_.now);
     context_.event(Level::info, "machine_up",
                    {{"machine", report.host.text},
                     {"type", report.machineType},
                     {"zone", report.zone},
                     {"after_s", wire::toSeconds(context_.now - machine->rentedAt)}});
   }
-  takeEvidence(*machine, report, Source::report);
+  takeEvidence(*machine, report, source);
   machine->unreachable = false;
   machine->lastHeard = context_.now;
   machine->lastAnswered = std::max(machine->lastAnswered, context_.now);
-  const auto orders = ordersFor(*machine, Source::report, report.sequence);
+  const auto orders = ordersFor(*machine, source, report.sequence);
   return ReportAnswer{200, wire::encodeOrders(tokenOf(*machine), orders)};
 }
 
@@ -62,6 +64,7 @@
   if (!newer(machine, report)) return;
   if (report.session > machine.session) newSession(machine, report);
   machine.sequence = report.sequence;
+  if (source != Source::relay) machine.lastDirect = context_.now;
   machine.workerToken = std::max(machine.workerToken, report.token);
   noteEcho(machine);
   for (Attempt& attempt : machine.attempts) {
@@ -96,7 +99,7 @@
     }
     takeTaskReport(machine, *attempt, reported);
   }
-  if (source == Source::report) takeAbsence(machine, report);
+  if (source != Source::direct) takeAbsence(machine, report);
   dropFree(machine);
   if (!machine.empty()) machine.idleSince = context_.now;
 }
@@ -175,8 +178,7 @@
   jobs::Job* job = jobs_.find(attempt.task.job.text);
   const bool known = job != nullptr && job->open() && attempt.task.index < job->tasks.size();
   if (reported.cause == wire::Cause::done && !attempt.isService) {
-    machine.errorsInRow = 0;
-    machine.errorJobs.clear();
+    machine.clearErrors();
     if (known) complete(attempt.task);
     return;
   }
@@ -257,6 +259,7 @@
   if (job.isGang()) return completeGang(job);
   job.to(task.index, jobs::TaskPhase::completed, context_.now);
   job.dirtyChunks.insert(task.index / constants::kDoneChunk);
+  if (job.failures.jobAtFault()) job.failures.absolve();
   markDirty(task.job.text);
   planDue_ = true;
 }
--- a/src/service/owner_faults.cpp
+++ b/src/service/owner_faults.cpp
@@ -5,35 +5,69 @@
 
 namespace reachhoist::service {
 
-void Owner::noteError(Machine& machine, Attempt& attempt) {
+void Owner::noteError(Machine& machine, const Attempt& attempt) {
   const std::string& ref = attempt.task.job.text;
   context_.event(Level::info, "task_failed", {{"task", attempt.task.str()}, {"machine", machine.host.text}});
   jobs::Job* job = jobs_.find(ref);
   if (job == nullptr || !job->open()) return;
-  ++job->errors;
-  job->errorHosts.insert(machine.host.text);
+  const bool ran = attempt.runningSince != Time{};
+  job->failures.note(machine.host.text, ran ? context_.now - attempt.runningSince : wire::Duration{});
+  if (job->failures.jobAtFault() || (job->failures.widespread() && !doesWell(ref, machine))) {
+    // Failed wherever it went: a few of its tasks are tried ever more rarely, until its user cancels it.
+    if (faultyJobs_.insert(ref).second) {
+      context_.event(Level::info, "job_at_fault", {{"job", ref}});
+      clearBlame(ref);
+    }
+    return job->failures.blameJob(context_.now);
+  }
   ++machine.errorsInRow;
   machine.errorJobs.insert(ref);
   if (machine.errorsInRow >= constants::kSuspectErrors)
     machine.suspectUntil = context_.now + constants::kSuspectPause;
-  if (static_cast<int>(job->errorHosts.size()) < constants::kWrongJobMachines) return;
-  // Failed wherever it went: it is tried ever more rarely, anywhere, until its user cancels it.
-  const auto pause = constants::kJobErrorBackoff * (1 << std::min(job->errors, 4));
-  job->heldUntil = context_.now + std::min<std::chrono::milliseconds>(pause, constants::kJobErrorBackoffMost);
 }
 
-bool Owner::provenGood(const std::string& ref, const Machine& blamed) const {
+// The machines on which the job failed are as good as any other.
+void Owner::clearBlame(const std::string& ref) {
+  for (auto& [host, machine] : machines_.all())
+    if (machine.errorJobs.erase(ref) > 0 && machine.errorJobs.empty()) machine.clearErrors();
+}
+
+// What is held to be at fault and then does well had bad luck with its machines.
+void Owner::judgeJobs() {
+  for (auto at = faultyJobs_.begin(); at != faultyJobs_.end();) {
+    jobs::Job* job = jobs_.find(*at);
+    const bool over = job == nullptr || !job->open();
+    if (!over && !job->failures.jobAtFault()) {
+      at = faultyJobs_.erase(at);
+    } else if (!over && !doesWell(*at, std::nullopt)) {
+      ++at;
+    } else {
+      if (!over) {
+        job->failures.absolve();
+        planDue_ = true;
+      }
+      at = faultyJobs_.erase(at);
+    }
+  }
+}
+
+bool Owner::doesWell(const std::string& ref,
+                     std::optional<std::reference_wrapper<const Machine>> except) const {
+  const jobs::Job* job = jobs_.find(ref);
+  if (job != nullptr && job->open() && job->completed > 0) return true;
+  // A job that is wrong may run for a while before each of its tasks fails.
+  const auto enough =
+      constants::kGoodAfter + (job != nullptr ? job->failures.longestRun() : wire::Duration{});
   for (const auto& [host, machine] : machines_.all()) {
-    if (&machine == &blamed) continue;
+    if (except && &except->get() == &machine) continue;
     for (const Attempt& attempt : machine.attempts) {
       // Tasks of a gang run together with the one that failed: that they ran proves nothing.
       if (attempt.task.job.text != ref || attempt.gang) continue;
       if (attempt.phase == AttemptPhase::ended && attempt.cause == wire::Cause::done) return true;
-      if (attempt.onMachine() && context_.now - attempt.since > constants::kGoodAfter) return true;
+      if (attempt.onMachine() && context_.now - attempt.since > enough) return true;
     }
   }
-  const jobs::Job* job = jobs_.find(ref);
-  return job != nullptr && job->open() && job->completed > 0;
+  return false;
 }
 
 void Owner::judge(Machine& machine) {
@@ -42,17 +76,14 @@
   if (machine.errorsInRow < constants::kSuspectErrors || machine.sick) return;
   bool allWrong = true;
   for (const std::string& ref : machine.errorJobs) {
-    if (provenGood(ref, machine)) {
+    if (doesWell(ref, machine)) {
       machine.sick = true;
       return retire(machine, "sick");
     }
     const jobs::Job* job = jobs_.find(ref);
-    if (job != nullptr && job->open() && job->errorHosts.size() < 2) allWrong = false;
+    if (job != nullptr && job->open() && job->failures.machines() < 2) allWrong = false;
   }
-  if (!allWrong) return;
-  machine.errorsInRow = 0;
-  machine.errorJobs.clear();
-  machine.suspectUntil = {};
+  if (allWrong) machine.clearErrors();
 }
 
 }  // namespace reachhoist::service
--- a/src/service/owner_fleet.cpp
+++ b/src/service/owner_fleet.cpp
@@ -25,6 +25,7 @@
     machine.spot = pool.spot;
     machine.rentedAt = context_.now;
     machine.lastHeard = context_.now;
+    machine.lastDirect = context_.now;
     machine.lastAnswered = context_.now;
     describe(machine);
   }
@@ -71,6 +72,7 @@
       stranger.endpoint = entry.endpoint;
       stranger.rentedAt = context_.now - wire::seconds(entry.ageS);
       stranger.lastHeard = context_.now;
+      stranger.lastDirect = context_.now;
       stranger.lastAnswered = electedAt_ + context_.settings.answerWindow();
       describe(stranger);
       // Nothing is placed on it, but an earlier leader had it up: it will report, and must not be taken for
@@ -84,9 +86,12 @@
       context_.event(Level::info, "machine_failed", {{"machine", entry.ref.text}});
       releaseAll(*machine, "machine failed");
       condemn(*machine, "failed");
-    } else if (machine->phase == MachinePhase::booting && entry.stage == wire::HostStage::running &&
-               wire::toSeconds(context_.now - machine->lastHeard) > lagS + 4 * context_.settings.reportS) {
-      condemn(*machine, "listed as running but silent");
+    } else if (machine->phase == MachinePhase::booting && entry.stage == wire::HostStage::running) {
+      // Counted from when it was first said to run: one that came up late has only just begun to report.
+      if (machine->listedUpAt == Time{}) machine->listedUpAt = context_.now;
+      const auto silent = context_.now - std::max(machine->listedUpAt, listeningSince());
+      if (wire::toSeconds(silent) > lagS + 4 * context_.settings.reportS)
+        condemn(*machine, "listed as running but silent");
     }
   }
 }
@@ -113,21 +118,43 @@
   context_.event(Level::info, "condemned", {{"machine", machine.host.text}, {"why", why}});
 }
 
+double Owner::bootSecondsOf(const Machine& machine) const {
+  if (!context_.catalog) return 0;
+  for (const wire::MachineType& machineType : *context_.catalog)
+    if (machineType.label == machine.machineType) return machineType.bootS;
+  return 0;
+}
+
+// What never comes up costs money until it is returned; where all boots are slow, giving up would throw away
+// what is about to come.
+void Owner::giveUpOnBoots() {
+  // What was reported while nobody listened arrives first.
+  if (context_.now - listeningSince() <
+      wire::seconds(context_.settings.reportS * constants::kGoneReports + 1))
+    return;
+  const fleet::BootCohorts cohorts(allMachines());
+  for (auto& [host, machine] : machines_.all()) {
+    if (machine.phase != MachinePhase::booting) continue;
+    const auto age = context_.now - machine.rentedAt;
+    const auto patience =
+        boots_.patience(machine.machineType, machine.zone, bootSecondsOf(machine), context_.now);
+    if (age <= patience) continue;
+    if (age <= constants::kBootAllSlow * patience && !cohorts.leftBehind(machine)) continue;
+    boots_.gaveUp(machine.machineType, machine.zone, context_.now);
+    condemn(machine, "never came up");
+  }
+}
+
 void Owner::moveRetirements() {
+  if (context_.now >= nextBootCheck_) {
+    nextBootCheck_ = context_.now + constants::kShortfallEvery;
+    giveUpOnBoots();
+  }
   for (auto& [host, machine] : machines_.all()) {
     if (machine.phase == MachinePhase::draining && machine.attempts.empty()) {
       machine.to(MachinePhase::retiring, context_.now);
     } else if (machine.phase == MachinePhase::up && machine.spotNoticeAt && machine.attempts.empty()) {
       retire(machine, "spot notice");
-    } else if (machine.phase == MachinePhase::booting) {
-      double bootS = 0;
-      if (context_.catalog) {
-        for (const wire::MachineType& machineType : *context_.catalog)
-          if (machineType.label == machine.machineType) bootS = machineType.bootS;
-      }
-      const auto patience = std::max<wire::Duration>(constants::kBootPatienceLeast,
-                                                     wire::seconds(bootS * constants::kBootPatience));
-      if (context_.now - machine.rentedAt > patience) condemn(machine, "never came up");
     }
   }
 }
@@ -150,7 +177,7 @@
 fleet::FleetWorld Owner::fleetWorld() {
   fleet::FleetWorld world{
       context_.settings, *context_.catalog, context_.now, context_.wallMs, allMachines(), unmet_, {}, {},
-      cuts_.zones(),     endangered()};
+      cuts_.zones(),     endangered(),      boots_};
   std::erase_if(world.unmet, [](const placement::Unmet& unmet) { return !unmet.job->open(); });
   std::erase_if(refusedUntil_, [this](const auto& entry) { return entry.second <= context_.now; });
   for (const auto& [pool, until] : refusedUntil_) world.refused.insert(pool);
--- a/src/service/owner_reachability.cpp
+++ b/src/service/owner_reachability.cpp
@@ -44,8 +44,31 @@
   }
 }
 
+// Neither workers nor siblings get through, or workers by way of siblings only: this controller reaches the
+// state service, but another serves better, and as long as this one leads the leases of all machines run out.
+bool Owner::handOver() {
+  if (context_.settings.siblings.empty() || resigned_ || !sure()) return false;
+  const char* why = nullptr;
+  const bool siblingsSilent = context_.now - context_.siblingHeardAt > constants::kHelloFresh;
+  const bool siblingConfirmed = context_.now - context_.siblingConfirmedAt <= constants::kHelloFresh;
+  if (cuts_.selfCutFor(context_.now) > constants::kSelfCutPatience) {
+    why = "hears no workers";
+  } else if (siblingConfirmed && cuts_.unreachedFor(context_.now) > constants::kSelfCutPatience) {
+    why = "hears workers through siblings only";
+  } else if (siblingsSilent && cuts_.unheardFor(context_.now) > constants::kUnheardPatience &&
+             context_.now - listeningSince() > constants::kUnheardPatience) {
+    // Machines that are all dead would not come to the next leader either; siblings that are silent as well
+    // tell a cut from that.
+    why = "hears nobody";
+  }
+  if (why == nullptr) return false;
+  resigned_ = true;
+  leadership_.stepDown(why);
+  return true;
+}
+
 void Owner::watchSilence() {
-  if (context_.now < nextSilenceCheck_) return;
+  if (context_.now < nextSilenceCheck_ || !reconfirmed()) return;
   nextSilenceCheck_ = context_.now + constants::kTick * 10;
   pullIn();
   // Most machines of a zone quiet at once are more likely cut off than dead, and relay needs a while to find
@@ -56,14 +79,10 @@
   const auto silentFor = wire::seconds(settings.reportS * constants::kSilentReports + 2);
   const auto probeAfter = wire::seconds(settings.reportS * constants::kProbeReports + 1);
   const auto goneFor = wire::seconds(settings.reportS * constants::kGoneReports + 1);
-  const bool settled = context_.now - actingSince_ > silentFor && sure();
-  // Neither workers nor siblings get through, only the state service does: as long as this controller leads,
-  // the leases of all machines run out.
-  if (settled && cuts_.selfCutFor(context_.now) > constants::kSelfCutPatience && !settings.siblings.empty() &&
-      !resigned_) {
-    resigned_ = true;
-    return leadership_.stepDown("hears no workers");
-  }
+  const bool settled = context_.now - listeningSince() > silentFor && sure();
+  if (cuts_.mostlyIndirect()) sampleDirect();
+  if (handOver()) return;
+  judgeJobs();
   for (auto& [host, machine] : machines_.all()) {
     if (machine.phase == MachinePhase::gone) continue;
     judge(machine);
@@ -76,7 +95,7 @@
     }
     if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::draining) continue;
     const auto silent = context_.now - machine.lastHeard;
-    const bool cut = cuts_.contains(machine.zone);
+    const bool cut = cuts_.doubtful(machine.zone);
     if (settled && silent > silentFor && (over || !cut)) condemn(machine, "silent");
     // Overdue and out of reach as well: no need to wait for a third report.
     if (settled && silent > probeAfter && !machine.probing && !machine.unreachable &&
@@ -90,7 +109,7 @@
                       context_.now - machine.unechoedSince > settings.leaseOver() + constants::kDeafPatience;
     if (settled && deaf && machine.phase == MachinePhase::up) condemn(machine, "deaf");
   }
-  if (context_.now - actingSince_ > goneFor && sure()) moveServices();
+  if (context_.now - listeningSince() > goneFor && sure()) moveServices();
 }
 
 // Workers that an earlier leader still answers would stay with it for as long as it believes itself entitled.
@@ -108,6 +127,23 @@
   }
 }
 
+// Workers that siblings pass on may be within reach all the same: those that answer show that this controller
+// is not cut off.
+void Owner::sampleDirect() {
+  std::size_t asked = 0;
+  const auto overdue = wire::seconds(context_.settings.reportS * constants::kQuietReports + 0.5);
+  for (auto& [host, machine] : machines_.all()) {
+    if (asked == constants::kDirectSamples || !mayCallWorker()) return;
+    const bool relayed =
+        context_.now - machine.lastHeard <= overdue && context_.now - machine.lastDirect > overdue;
+    if (machine.phase != MachinePhase::up || !relayed || machine.probing || machine.endpoint.empty())
+      continue;
+    machine.probing = true;
+    inspect(machine);
+    ++asked;
+  }
+}
+
 void Owner::inspect(Machine& machine) {
   ++workerCalls_;
   wire::Call call;
--- a/src/service/zone_cuts.hpp
+++ b/src/service/zone_cuts.hpp
@@ -1,4 +1,5 @@
-// Which zones seem cut off from this controller, judged by the machines that have fallen silent.
+// Which zones seem cut off from this controller, and whether it is cut off itself, judged by the machines
+// that have fallen silent or are heard by way of siblings only.
 #pragma once
 
 #include <map>
@@ -17,23 +18,49 @@
 
   // Looks at all machines anew.
   void observe(const machines::MachineTable& machines, Time now);
+  // Forgets what was concluded so far: this process was not listening.
+  void reset();
 
   // Zones of which most machines are quiet.
   const std::set<std::string>& zones() const { return zones_; }
   bool contains(const std::string& zone) const { return zones_.contains(zone); }
+  // Most machines of the zone are quiet or heard through siblings: the others may be on their way there too.
+  bool doubtful(const std::string& zone) const { return contains(zone) || doubtful_.contains(zone); }
   // Nearly all machines are quiet, wherever they are: it is this controller that is cut off.
   bool selfCut() const { return selfCut_; }
   // For how long that has been so, of machines that had been heard from; zero if it is not.
-  wire::Duration selfCutFor(Time now) const;
+  wire::Duration selfCutFor(Time now) const { return since(selfCutSince_, now); }
+  // Nearly all machines are quiet or heard through siblings.
+  bool mostlyIndirect() const { return mostlyIndirect_; }
+  // For how long no machine has been heard or reached directly, while siblings hear some.
+  wire::Duration unreachedFor(Time now) const { return since(unreachedSince_, now); }
+  // For how long hardly any machine has been heard from at all, though many should be there.
+  wire::Duration unheardFor(Time now) const { return since(unheardSince_, now); }
 
  private:
-  bool quiet(const machines::Machine& machine, Time now) const;
+  struct Count {
+    int up = 0;
+    int quiet = 0;
+    int indirect = 0;  // quiet, or heard through siblings only
+    int heard = 0;     // ever, under this term
+    void add(const Count& other);
+  };
+  Count countOf(const machines::Machine& machine, Time now) const;
+  static wire::Duration since(Time begin, Time now) {
+    return begin == Time{} ? wire::Duration{0} : now - begin;
+  }
+  // Keeps the moment at which a condition began to hold.
+  static void keep(Time& begin, bool holds, Time now);
 
   const config::Settings& settings_;
   std::set<std::string> zones_;
+  std::set<std::string> doubtful_;
   std::map<std::string, Time> until_;
   bool selfCut_ = false;
+  bool mostlyIndirect_ = false;
   Time selfCutSince_{};
+  Time unreachedSince_{};
+  Time unheardSince_{};
 };
 
 }  // namespace reachhoist::service
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -197,6 +197,7 @@
     if (options.has("due")) spec.dueS = options.number("due", 0);
     if (options.has("zone")) spec.zone = options.text("zone", "");
     plan.wrong = options.has("wrong");
+    if (plan.wrong && !options.text("wrong", "").empty()) plan.wrongAfterS = options.number("wrong", 1);
   }
 
   // Many jobs alike: the first number, how many, and how far apart.
@@ -327,6 +328,11 @@
       world.capacity(words.at(3), std::stoi(words.at(4)));
     } else if (what == "boots-never") {
       world.bootsNever = words.at(3) == "on";
+    } else if (what == "boots") {
+      world.bootsFactor = options.number("factor", 1);
+      world.bootsFail = options.number("fail", 0);
+    } else if (what == "cut-workers") {
+      world.cutWorkers(nodeName(world, words.at(3)), seconds(4));
     } else if (what == "lose") {
       world.lose(static_cast<std::size_t>(seconds(3)), words.at(4) == "hang" ? seconds(5) : 0);
     } else if (what == "hang") {
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -27,9 +27,10 @@
 
 struct JobPlan {
   wire::JobSpec spec;
-  double runS = 10;    // true run time of a task
-  double laterS = 0;   // each further task runs so much longer than the one before
-  bool wrong = false;  // fails on every machine
+  double runS = 10;        // true run time of a task
+  double laterS = 0;       // each further task runs so much longer than the one before
+  bool wrong = false;      // fails on every machine
+  double wrongAfterS = 1;  // after its tasks have run so long
 };
 
 // One worker, as the protocol describes it.
@@ -157,12 +158,16 @@
   std::size_t abortsAsked = 0;
   std::size_t unanswered = 0;  // polls
   bool bootsNever = false;
-  double copyShare = 0;  // of reports that arrive once more
-  double copyLateS = 0;  // at most this much later
+  double bootsFactor = 1;  // by which boots of machines rented from now on are slower
+  double bootsFail = 0;    // share of machines rented from now on that never come up
+  double copyShare = 0;    // of reports that arrive once more
+  double copyLateS = 0;    // at most this much later
   void isolate(const std::string& node, double seconds);
   // Neither workers nor siblings reach it, nor it them; the state service, the cloud and users do.
   void unreach(const std::string& node, double seconds);
   bool unreached(const Node& node) const;
+  // No worker reaches it, nor it them; siblings, the state service, the cloud and users do.
+  void cutWorkers(const std::string& node, double seconds);
   std::map<std::string, JobPlan> jobs;
   std::map<std::string, int> accepted;       // ref -> status of the acceptance
   std::map<std::string, std::string> stage;  // ref -> last stage told
--- /dev/null
+++ b/tests/unit/failures_test.cpp
@@ -0,0 +1,61 @@
+#include "jobs/failures.hpp"
+
+#include <gtest/gtest.h>
+
+#include "config/constants.hpp"
+
+namespace {
+
+using namespace reachhoist;
+using jobs::Failures;
+using wire::seconds;
+
+const wire::Time kNow = wire::Time{} + std::chrono::hours(1);
+
+TEST(Failures, ThreeMachinesAreWidespreadAndTheLongestRunIsKept) {
+  Failures failures;
+  failures.note("vm-1", seconds(2));
+  failures.note("vm-1", seconds(5));
+  failures.note("vm-2", seconds(1));
+  EXPECT_FALSE(failures.widespread());
+  EXPECT_TRUE(failures.failedOn("vm-2"));
+  EXPECT_FALSE(failures.failedOn("vm-3"));
+  failures.note("vm-3", seconds(0));
+  EXPECT_TRUE(failures.widespread());
+  EXPECT_EQ(failures.longestRun(), seconds(5));
+}
+
+TEST(Failures, EachTrialWaitsLongerUpToALimitAndATrialsTasksCountOnce) {
+  Failures failures;
+  EXPECT_FALSE(failures.jobAtFault());
+  failures.blameJob(kNow);
+  failures.blameJob(kNow + seconds(1));  // failed along with it
+  EXPECT_TRUE(failures.jobAtFault());
+  EXPECT_EQ(failures.heldUntil(), kNow + constants::kJobErrorBackoff);
+  wire::Time now = failures.heldUntil();
+  failures.blameJob(now);
+  EXPECT_EQ(failures.heldUntil(), now + 2 * constants::kJobErrorBackoff);
+  for (int i = 0; i < 20; ++i) {
+    now = failures.heldUntil();
+    failures.blameJob(now);
+  }
+  EXPECT_EQ(failures.heldUntil(), now + constants::kJobErrorBackoffMost);
+}
+
+TEST(Failures, AJobThatDoesWellStartsAfresh) {
+  Failures failures;
+  for (int i = 0; i < 3; ++i) failures.note("vm-" + std::to_string(i), seconds(1));
+  failures.blameJob(kNow);
+  failures.absolve();
+  EXPECT_FALSE(failures.jobAtFault());
+  EXPECT_FALSE(failures.widespread());
+  EXPECT_FALSE(failures.failedOn("vm-0"));
+}
+
+TEST(Failures, AJobThatFailsEverywhereRemembersABoundedNumberOfMachines) {
+  Failures failures;
+  for (int i = 0; i < 5000; ++i) failures.note("vm-" + std::to_string(i), seconds(1));
+  EXPECT_EQ(failures.machines(), constants::kFailureHostsMost);
+}
+
+}  // namespace
--- a/tests/unit/pools_test.cpp
+++ b/tests/unit/pools_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include "fleet/coming.hpp"
+
 namespace {
 
 using namespace reachhoist;
@@ -33,6 +35,7 @@
     machine.total = catalog[0].room;
     machine.phase = MachinePhase::up;
     machine.echoed = true;
+    machine.rentedAt = now;
     if (usedCpus > 0) {
       Attempt attempt;
       attempt.task = wire::TaskId{{"job-1"}, static_cast<std::uint32_t>(table.all().size())};
@@ -156,4 +159,21 @@
   EXPECT_TRUE(fleet::shortfall(scarce).empty());
 }
 
+TEST_F(PoolsTest, AMachineThatIsLateIsNoRoomUnlessAllAreSlow) {
+  const auto booting = [&](double ageS) {
+    Machine& machine = add("a", 0);
+    machine.phase = MachinePhase::booting;
+    machine.rentedAt = now - wire::seconds(ageS);
+  };
+  booting(25);
+  EXPECT_EQ(fleet::comingMachines(world()).size(), 1U);
+  table.clear();
+  booting(60);
+  EXPECT_TRUE(fleet::comingMachines(world()).empty());
+  const auto views = fleet::viewPools(world());
+  EXPECT_EQ(std::count_if(views.begin(), views.end(), [](const auto& view) { return view.late == 1; }), 1);
+  for (int i = 0; i < 4; ++i) booting(60);
+  EXPECT_EQ(fleet::comingMachines(world()).size(), 5U);
+}
+
 }  // namespace
