--- a/src/cloud/client.cpp
+++ b/src/cloud/client.cpp
@@ -76,13 +76,26 @@
                           {"loaners", rental->pool.spot},
                           {"number", rental->count}},
                      [this, rental](const wire::CallResult& result) { onRental(rental, result); });
+  rental->sent = rental->sent || rental->out;
+}
+
+void Client::dropUnsent(const PoolKey& pool) {
+  std::size_t count = 0;
+  std::erase_if(rentals_, [&](const auto& rental) {
+    if (rental->sent || rental->pool != pool) return false;
+    count += rental->count;
+    return true;
+  });
+  if (count > 0) handlers_.rented(pool, {}, count);
 }
 
 void Client::onRental(const std::shared_ptr<Rental>& rental, const wire::CallResult& result) {
   rental->out = false;
   const auto finish = [&](const std::vector<std::string>& hosts) {
     std::erase(rentals_, rental);
-    handlers_.rented(rental->pool, hosts, rental->count - std::min(rental->count, hosts.size()));
+    const std::size_t refused = rental->count - std::min(rental->count, hosts.size());
+    handlers_.rented(rental->pool, hosts, refused);
+    if (refused > 0) dropUnsent(rental->pool);
   };
   if (result.ok()) {
     std::vector<std::string> hosts;
--- a/src/cloud/client.hpp
+++ b/src/cloud/client.hpp
@@ -48,11 +48,14 @@
     PoolKey pool;
     std::size_t count = 0;
     int refusals = 0;
+    bool sent = false;  // at least once: the cloud may know of it
     Time notBefore{};
     bool out = false;
   };
   bool call(Time now, const char* method, std::string path, Json body, wire::Calls::Done done);
   void sendRental(Time now, const std::shared_ptr<Rental>& rental);
+  // The pool has no more to give: what was to be asked of it next would be refused as well.
+  void dropUnsent(const PoolKey& pool);
   void onRental(const std::shared_ptr<Rental>& rental, const wire::CallResult& result);
   void sendReturns(Time now);
   void sendList(Time now);
--- a/src/placement/preemption.cpp
+++ b/src/placement/preemption.cpp
@@ -29,15 +29,11 @@
   // Room that is being made already counts: otherwise every round would stop more for the same task.
   std::uint32_t coming = 0;
   for (const Bin& bin : bins_) {
-    if (!usable(bin, job)) continue;
+    if (!bin.stopping || !usable(bin, job)) continue;
     wire::Resources freeing = bin.room;
-    bool stopping = false;
-    for (const machines::Attempt& attempt : bin.machine->attempts) {
-      if (!attempt.holdsRoom() || !attempt.stopWanted) continue;
-      freeing += attempt.each;
-      stopping = true;
-    }
-    while (stopping && job.spec.each.fitsIn(freeing)) {
+    for (const machines::Attempt& attempt : bin.machine->attempts)
+      if (attempt.holdsRoom() && attempt.stopWanted) freeing += attempt.each;
+    while (job.spec.each.fitsIn(freeing)) {
       freeing -= job.spec.each;
       ++coming;
     }
@@ -52,6 +48,9 @@
   double bestCost = std::numeric_limits<double>::max();
   for (Bin& bin : bins_) {
     const Machine& machine = *bin.machine;
+    // On most machines nothing is of low enough rank: they are passed over before their attempts are looked
+    // at.
+    if (bin.lowest > job.spec.priority || (bin.lowest == job.spec.priority && !guaranteed)) continue;
     if (!usable(bin, job) || !zoneOpen(job, machine.zone)) continue;
     std::vector<const machines::Attempt*> candidates;
     for (const machines::Attempt& attempt : machine.attempts)
--- a/src/placement/round.cpp
+++ b/src/placement/round.cpp
@@ -17,10 +17,10 @@
         return team.cpus > 0 || team.cpusMax > 0 || team.gpus > 0 || team.gpusMax > 0;
       });
   for (Machine* machine : world.machines) {
-    wire::Resources room = machine->total;
+    Bin bin{machine, machine->total, wire::Priority::prod, false, {}};
     for (const machines::Attempt& attempt : machine->attempts) {
       if (!attempt.holdsRoom()) continue;
-      room -= attempt.each;
+      bin.room -= attempt.each;
       if (limited) {
         TeamUse& use = teams_[attempt.team];
         use.cpus += attempt.each.vcpus;
@@ -30,9 +30,14 @@
         const auto found = zoned.find(attempt.task.job.text);
         if (found != zoned.end()) (*found->second)[machine->zone] += 1;
       }
-      if (!attempt.stopWanted) lowestPriority_ = std::min(lowestPriority_, attempt.priority);
+      if (attempt.stopWanted) {
+        bin.stopping = true;
+      } else {
+        bin.lowest = std::min(bin.lowest, attempt.priority);
+      }
     }
-    if (takesWork(*machine)) bins_.push_back(Bin{machine, room, {}});
+    lowestPriority_ = std::min(lowestPriority_, bin.lowest);
+    if (takesWork(*machine)) bins_.push_back(std::move(bin));
     if (!canBeTold(*machine)) noteUntold(*machine);
   }
   anyOverGuarantee_ = std::any_of(teams_.begin(), teams_.end(),
--- a/src/placement/round.hpp
+++ b/src/placement/round.hpp
@@ -20,7 +20,9 @@
 struct Bin {
   Machine* machine;
   wire::Resources room;
-  std::vector<const std::string*> planned;  // images that this round's tasks bring
+  wire::Priority lowest = wire::Priority::prod;  // of what it has and what isn't being stopped
+  bool stopping = false;                         // something on it is on its way out
+  std::vector<const std::string*> planned;       // images that this round's tasks bring
 
   bool brings(const std::string& image) const {
     return std::any_of(planned.begin(), planned.end(), [&](const auto* other) { return *other == image; });
--- /dev/null
+++ b/tests/unit/cloud_test.cpp
@@ -0,0 +1,68 @@
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "cloud/client.hpp"
+
+namespace {
+
+using namespace reachhoist;
+using wire::Json;
+
+class CloudTest : public testing::Test {
+ protected:
+  CloudTest() { settings.cloudRps = 1; }
+
+  // Answers every rental request that the client has sent so far; returns how many there were.
+  std::size_t answerRentals(int status, const Json& body) {
+    std::size_t answered = 0;
+    for (const wire::Call& call : calls.drain()) {
+      if (call.path != "/hosts") continue;
+      ++answered;
+      names.insert(call.body["hire"].get<std::string>());
+      calls.complete(call.number, wire::CallResult{status, true, body});
+    }
+    return answered;
+  }
+
+  // Lets time pass until the client has sent a rental request and it is answered, or a while has gone by.
+  std::size_t nextRental(int status, const Json& body) {
+    for (int i = 0; i < 100; ++i) {
+      now += std::chrono::milliseconds(100);
+      client.tick(now);
+      if (const std::size_t answered = answerRentals(status, body); answered > 0) return answered;
+    }
+    return 0;
+  }
+
+  config::Settings settings;
+  wire::Calls calls;
+  wire::Time now = wire::Time{} + std::chrono::hours(1);
+  std::set<std::string> names;  // of the requests
+  std::size_t got = 0;
+  std::size_t refused = 0;
+  cloud::Client client{calls, settings, "hoist-0-1",
+                       cloud::Client::Handlers{[this](const auto&, const auto& hosts, std::size_t missing) {
+                                                 got += hosts.size();
+                                                 refused += missing;
+                                               },
+                                               [](const auto&) {}, [](const auto&) {}, [](auto) {}}};
+  const cloud::PoolKey pool{"small", "a", false};
+};
+
+// A large rental goes out in several requests. Once the pool has refused one, the others of the same pool
+// would only use up the rate that other pools and returns need.
+TEST_F(CloudTest, ARefusedPoolIsNotAskedForTheRestOfARental) {
+  const Json none{{"error", "no capacity"}};
+  client.rent(now, pool, 500);
+  EXPECT_EQ(client.pending(pool), 500U);
+  answerRentals(503, none);
+  EXPECT_EQ(refused, 0U);  // the same request may be sent once more
+  while (nextRental(503, none) > 0) continue;
+  EXPECT_EQ(refused, 500U);
+  EXPECT_EQ(got, 0U);
+  EXPECT_EQ(client.pending(pool), 0U);
+  EXPECT_LT(names.size(), 8U);  // of the ten that 500 machines take
+}
+
+}  // namespace
