--- a/src/cluster/leadership.cpp
+++ b/src/cluster/leadership.cpp
@@ -225,7 +225,7 @@
   if (state_ != State::leading) return;
   client_.endLease(now_, leaseId_);
   depose(why);
-  nextTry_ = now_ + constants::kAbstain;
+  nextTry_ = now_ + constants::kStepDownPause;
 }
 
 void Leadership::resign(const char* why) {
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -28,7 +28,7 @@
 inline constexpr milliseconds kLeaderRenew = 800ms;    // a third of the TTL less one slow answer
 inline constexpr milliseconds kConfirmEvery = 1s;      // ownership and cancellations are re-read this often
 inline constexpr milliseconds kElectionRetry = 300ms;  // between tries to take a vacant leadership
-inline constexpr milliseconds kAbstain =
+inline constexpr milliseconds kStepDownPause =
     20s;  // after leaving the lead to a sibling; it needs as long to be heard
 inline constexpr milliseconds kSelfCutPatience =
     3s;  // nearly all machines overdue for this long more: relay fails too
@@ -56,7 +56,7 @@
 inline constexpr milliseconds kRelayFor = 30s;     // then the direct way is tried again
 inline constexpr milliseconds kReturnedMemory =
     10min;  // lists and copies of reports from a gone machine come late
-inline constexpr milliseconds kDeafPatience =
+inline constexpr milliseconds kUnacknowledgedPatience =
     5s;  // beyond the lease, for a machine that hears nothing we send
 
 // --- Network --------------------------------------------------------------------------------------------
@@ -79,7 +79,7 @@
 inline constexpr std::size_t kProgressJobs = 2000;          // named in one such message: some 60 bytes each
 inline constexpr std::size_t kMaxPeerBacklog = 512 * 1024;  // bytes queued to a peer before dropping
 inline constexpr milliseconds kPeerRetry = 500ms;           // between connection tries to a sibling
-inline constexpr milliseconds kPeerBeat = 1s;               // progress messages, which also prove the link
+inline constexpr milliseconds kHeartbeatEvery = 1s;         // progress messages, which also prove the link
 
 // --- State service budget -------------------------------------------------------------------------------
 inline constexpr double kLeaderShare = 0.60;    // share of the state budgets that the leader may use
@@ -88,7 +88,7 @@
 inline constexpr double kPollsShare = 0.40;     // the same for all controllers together
 inline constexpr milliseconds kFreshFor =
     1s;  // a confirming read is made by then even if nobody waits for it
-inline constexpr milliseconds kHelloFresh =
+inline constexpr milliseconds kHeartbeatFresh =
     2500ms;  // a sibling's word is believed this long; it comes each second
 inline constexpr milliseconds kAloneAfter =
     4s;  // without the state service, while siblings have it or are silent
@@ -135,7 +135,8 @@
 inline constexpr double kEmptyArrayS = 3.0;   // filling machines up leaves others to be returned
 inline constexpr double kSharedFetchS = 0.5;  // share of a fetch that joining one under way costs
 inline constexpr double kGangLossS = 60.0;    // of stopping a gang for the sake of one task's room
-inline constexpr double kUntoldGangS = 300.0;  // the same where a machine can't be told: nothing is saved
+inline constexpr double kUnreachableGangS =
+    300.0;  // the same where a machine can't be told: nothing is saved
 
 // --- Machines -------------------------------------------------------------------------------------------
 inline constexpr double kSilentReports = 3.0;  // missed reports after which a machine gets no new work
@@ -158,10 +159,12 @@
 inline constexpr std::size_t kBootsTelling = 4;      // fewer recent boots tell nothing
 inline constexpr milliseconds kBootCohort = 15s;     // machines rented within this of each other boot alike
 inline constexpr milliseconds kBootPatienceLeast =
-    60s;                                          // least patience; some machines take several times longer
-inline constexpr milliseconds kPullInAfter = 3s;  // after loading: machines not heard from are asked directly
-inline constexpr unsigned kPullInLeast = 20;      // machines asked in one half second, where sockets are few
-inline constexpr int kSuspectErrors = 2;          // errors in a row after which a machine is looked into
+    60s;  // least patience; some machines take several times longer
+inline constexpr milliseconds kProbeUnheardAfter =
+    3s;  // after loading: machines not heard from are asked directly
+inline constexpr unsigned kProbeUnheardLeast =
+    20;                                   // machines asked in one half second, where sockets are few
+inline constexpr int kSuspectErrors = 2;  // errors in a row after which a machine is looked into
 inline constexpr milliseconds kSuspectPause = 15s;    // without new work, while its jobs are tried elsewhere
 inline constexpr milliseconds kGoodAfter = 5s;        // running this long elsewhere clears a job
 inline constexpr milliseconds kJobErrorBackoff = 2s;  // first pause of a job whose tasks fail; doubles
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -41,7 +41,7 @@
       break;
     }
     case rpc::Message::HELLO:
-      out.what = Hello{in.getHello().getTerm(), in.getHello().getLeading(), in.getHello().getConfirmed()};
+      out.what = Heartbeat{in.getHello().getTerm(), in.getHello().getLeading(), in.getHello().getConfirmed()};
       break;
   }
   return out;
@@ -62,11 +62,11 @@
     out.setNumber(relayed->number);
     out.setStatus(static_cast<std::uint16_t>(relayed->status));
     out.setBody(data(relayed->body));
-  } else if (const auto* hello = std::get_if<Hello>(&message.what)) {
+  } else if (const auto* heartbeat = std::get_if<Heartbeat>(&message.what)) {
     auto out = root.initHello();
-    out.setTerm(hello->term);
-    out.setLeading(hello->leading);
-    out.setConfirmed(hello->confirmed);
+    out.setTerm(heartbeat->term);
+    out.setLeading(heartbeat->leading);
+    out.setConfirmed(heartbeat->confirmed);
   } else if (const auto* progress = std::get_if<Progress>(&message.what)) {
     auto out = root.initProgress();
     out.setTerm(progress->term);
--- a/src/peer/codec.hpp
+++ b/src/peer/codec.hpp
@@ -27,14 +27,14 @@
   std::uint64_t term = 0;
   std::vector<JobProgress> jobs;
 };
-struct Hello {
+struct Heartbeat {
   std::uint64_t term = 0;  // the last one that the sender knows of
   bool leading = false;    // the sender leads under it
   bool confirmed = false;  // the state service has answered the sender lately
 };
 struct Message {
   std::string from;
-  std::variant<Relay, Relayed, Progress, Hello> what;
+  std::variant<Relay, Relayed, Progress, Heartbeat> what;
 };
 
 std::string encode(const Message& message);
--- a/src/placement/gangs.cpp
+++ b/src/placement/gangs.cpp
@@ -7,14 +7,14 @@
 
 namespace reachhoist::placement {
 
-bool Round::canBeTold(const Machine& machine) const {
+bool Round::isReachable(const Machine& machine) const {
   const auto overdue = wire::seconds(world_.settings.reportS * constants::kQuietReports + 0.5);
   return machine.echoed && !machine.unreachable && world_.now - machine.lastHeard <= overdue;
 }
 
-void Round::noteUntold(const Machine& machine) {
+void Round::noteUnreachable(const Machine& machine) {
   for (const machines::Attempt& attempt : machine.attempts)
-    if (attempt.gang && attempt.holdsRoom()) untoldGangs_.insert(attempt.number);
+    if (attempt.gang && attempt.holdsRoom()) unreachableGangs_.insert(attempt.number);
 }
 
 Round::Seats Round::seats(const Job& job, const std::string& zone) const {
--- a/src/placement/preemption.cpp
+++ b/src/placement/preemption.cpp
@@ -91,7 +91,7 @@
   // It would stop its whole gang.
   if (attempt.gang) {
     const double stopS =
-        untoldGangs_.contains(attempt.number) ? constants::kUntoldGangS : constants::kGangLossS;
+        unreachableGangs_.contains(attempt.number) ? constants::kUnreachableGangS : constants::kGangLossS;
     return stopS + wire::toSeconds(world_.now - attempt.placedAt);
   }
   if (attempt.phase != machines::AttemptPhase::running) return 0;
--- a/src/placement/round.cpp
+++ b/src/placement/round.cpp
@@ -38,7 +38,7 @@
     }
     lowestPriority_ = std::min(lowestPriority_, bin.lowest);
     if (takesWork(*machine)) bins_.push_back(std::move(bin));
-    if (!canBeTold(*machine)) noteUntold(*machine);
+    if (!isReachable(*machine)) noteUnreachable(*machine);
   }
   anyOverGuarantee_ = std::any_of(teams_.begin(), teams_.end(),
                                   [this](const auto& entry) { return overGuarantee(entry.first); });
@@ -57,7 +57,7 @@
 bool Round::takesWork(const Machine& machine) const {
   if (machine.phase != machines::MachinePhase::up || machine.recordBusy || machine.sick) return false;
   // Heard from in both directions under this term: what is known of it from records, late copies of reports
-  // or one deaf way alone is no reason to give it work.
+  // or one direction alone is no reason to give it work.
   if (!machine.echoed || machine.suspectUntil > world_.now) return false;
   const auto silent = wire::seconds(world_.settings.reportS * constants::kSilentReports);
   return world_.now - machine.lastHeard <= silent && !machine.spotNoticeAt;
--- a/src/placement/round.hpp
+++ b/src/placement/round.hpp
@@ -52,9 +52,9 @@
   // Whether the machine may be given work at all.
   bool takesWork(const Machine& machine) const;
   // Whether a command would arrive at once, by all that is known.
-  bool canBeTold(const Machine& machine) const;
+  bool isReachable(const Machine& machine) const;
   // Remembers the gangs that have a task on it.
-  void noteUntold(const Machine& machine);
+  void noteUnreachable(const Machine& machine);
   // What has failed on a machine is tried elsewhere, unless the job is at fault.
   static bool avoids(const Job& job, const Machine& machine);
   // What the team uses now, this round's placements included.
@@ -109,9 +109,10 @@
   std::vector<Bin> bins_;
   std::unordered_map<std::string, TeamUse> teams_;
   std::unordered_map<std::string, ZoneCount> placed_;
-  std::set<std::uint64_t> stopped_;                // attempts, by their numbers
-  std::unordered_set<std::uint64_t> untoldGangs_;  // attempts with a task on a machine that can't be told
-  std::unordered_set<std::string> guaranteed_;     // jobs within their team's guarantee
+  std::set<std::uint64_t> stopped_;  // attempts, by their numbers
+  std::unordered_set<std::uint64_t>
+      unreachableGangs_;                        // attempts with a task on a machine that can't be told
+  std::unordered_set<std::string> guaranteed_;  // jobs within their team's guarantee
   wire::Priority lowestPriority_ = wire::Priority::prod;
   bool anyOverGuarantee_ = false;
   std::size_t jobs_ = 0;
--- a/src/service/controller.cpp
+++ b/src/service/controller.cpp
@@ -10,7 +10,8 @@
 constexpr std::string_view kAbortEnd = "/abort";
 constexpr std::string_view kJobsPrefix = "jobs/";
 constexpr const char* kCatalogKey = "catalog";
-constexpr int kFullBeats = 5;  // every so many progress messages one names all jobs, in case one was lost
+constexpr int kFullHeartbeats =
+    5;  // every so many progress messages one names all jobs, in case one was lost
 }  // namespace
 
 void Context::event(Level of, std::string_view name, std::initializer_list<LogField> fields) const {
@@ -96,7 +97,7 @@
   users_.tick();
   if (owner_) owner_->tick();
   fetchCatalog();
-  if (now >= nextBeat_) beat();
+  if (now >= nextHeartbeat_) sendHeartbeat();
   std::erase_if(detours_,
                 [now](const auto& entry) { return now - entry.second.lastSeen > 2 * constants::kRelayFor; });
   for (auto relay = relays_.begin(); relay != relays_.end();) {
@@ -211,7 +212,7 @@
     // Without a link to the owner there is no way round through us either, but perhaps through the next
     // controller. Sent back to the owner, the worker would come to us again and again.
     const auto heard = heard_.find(owner);
-    if (heard == heard_.end() || context_.now - heard->second.at >= constants::kHelloFresh)
+    if (heard == heard_.end() || context_.now - heard->second.at >= constants::kHeartbeatFresh)
       return context_.later(request);
     if (detour.relayedSince == Time{}) detour.relayedSince = context_.now;
     const std::uint64_t number = nextRelay_++;
@@ -231,7 +232,8 @@
   if (settings_.sibling(message.from) == nullptr) return;
   if (const auto* relay = std::get_if<peer::Relay>(&message.what)) return onRelay(message.from, *relay);
   if (const auto* answer = std::get_if<peer::Relayed>(&message.what)) return relayed(*answer);
-  if (const auto* hello = std::get_if<peer::Hello>(&message.what)) return onHello(message.from, *hello);
+  if (const auto* heartbeat = std::get_if<peer::Heartbeat>(&message.what))
+    return onHeartbeat(message.from, *heartbeat);
   const auto& progress = std::get<peer::Progress>(message.what);
   if (progress.term < progressTerm_ || owner_) return;
   progressTerm_ = progress.term;
@@ -269,16 +271,16 @@
   context_.reply(request, 200, *body);
 }
 
-void Controller::onHello(const std::string& from, const peer::Hello& hello) {
-  heard_[from] = Heard{context_.now, hello.confirmed};
+void Controller::onHeartbeat(const std::string& from, const peer::Heartbeat& heartbeat) {
+  heard_[from] = Heard{context_.now, heartbeat.confirmed};
   context_.siblingHeardAt = context_.now;
-  if (hello.confirmed) context_.siblingConfirmedAt = context_.now;
-  if (!hello.leading || hello.term <= toldTerm_) return;
-  toldTerm_ = hello.term;
+  if (heartbeat.confirmed) context_.siblingConfirmedAt = context_.now;
+  if (!heartbeat.leading || heartbeat.term <= toldTerm_) return;
+  toldTerm_ = heartbeat.term;
   toldLeader_ = from;
   // We may be the last to hear of it: as long as we answered workers 200, they would not look for the new
   // leader.
-  if (leadership_.leading() && hello.term > leadership_.term()) leadership_.resign("a sibling leads");
+  if (leadership_.leading() && heartbeat.term > leadership_.term()) leadership_.resign("a sibling leads");
 }
 
 bool Controller::alone() const {
@@ -286,7 +288,7 @@
     return false;
   bool silent = true;
   for (const auto& [label, heard] : heard_) {
-    if (context_.now - heard.at > constants::kHelloFresh) continue;
+    if (context_.now - heard.at > constants::kHeartbeatFresh) continue;
     if (heard.confirmed) return true;
     silent = false;
   }
@@ -297,14 +299,14 @@
   return toldTerm_ > leadership_.term() ? toldLeader_ : leadership_.leader();
 }
 
-void Controller::beat() {
-  nextBeat_ = context_.now + constants::kPeerBeat;
-  const peer::Hello hello{leadership_.term(), leadership_.leading(),
-                          context_.now - jobFeed_.confirmedAt() < constants::kHelloFresh};
+void Controller::sendHeartbeat() {
+  nextHeartbeat_ = context_.now + constants::kHeartbeatEvery;
+  const peer::Heartbeat heartbeat{leadership_.term(), leadership_.leading(),
+                                  context_.now - jobFeed_.confirmedAt() < constants::kHeartbeatFresh};
   for (const config::Sibling& sibling : settings_.siblings)
-    context_.peerOut.push_back(PeerSend{sibling.label, peer::Message{settings_.label, hello}});
+    context_.peerOut.push_back(PeerSend{sibling.label, peer::Message{settings_.label, heartbeat}});
   if (!owner_) return;
-  const peer::Progress progress = owner_->progress(++beats_ % kFullBeats == 0);
+  const peer::Progress progress = owner_->progress(++heartbeats_ % kFullHeartbeats == 0);
   // In parts, since a frame that is too large would be dropped whole, each time again.
   for (std::size_t from = 0; from < progress.jobs.size(); from += constants::kProgressJobs) {
     const std::size_t to = std::min(progress.jobs.size(), from + constants::kProgressJobs);
--- a/src/service/controller.hpp
+++ b/src/service/controller.hpp
@@ -51,8 +51,8 @@
   void misdirected(std::uint64_t request, const wire::Report& report, const std::string& body);
   void relayed(const peer::Relayed& relayed);
   void onRelay(const std::string& from, const peer::Relay& relay);
-  void beat();
-  void onHello(const std::string& from, const peer::Hello& hello);
+  void sendHeartbeat();
+  void onHeartbeat(const std::string& from, const peer::Heartbeat& heartbeat);
   // Siblings have the state service, or all are out of reach as well, and we have not: users fare better
   // elsewhere.
   bool alone() const;
@@ -71,8 +71,8 @@
   bool ownerDue_ = false;
   Time lastActive_{};
   Time nextConfirm_{};
-  Time nextBeat_{};
-  int beats_ = 0;
+  Time nextHeartbeat_{};
+  int heartbeats_ = 0;
   std::uint64_t progressTerm_ = 0;
   struct Heard {
     Time at{};
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -116,7 +116,7 @@
   void moveServices();
   // Placed work that its users miss at once when it ends.
   static bool holdsService(const Attempt& attempt);
-  void pullIn();
+  void probeUnheard();
   void sampleDirect();
   void inspect(Machine& machine);
   void useNotice(Machine& machine);
--- a/src/service/owner_commands.cpp
+++ b/src/service/owner_commands.cpp
@@ -106,7 +106,7 @@
   if (machine.endpoint.empty() || machine.session == 0 || !mayAnswer()) return;
   if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::draining) return;
   const auto orders = ordersFor(machine, Source::direct, 0);
-  if (orders.empty() && (machine.echoed || !machine.pulled)) return;
+  if (orders.empty() && (machine.echoed || !machine.probedUnheard)) return;
   for (const wire::Order& order : orders)
     if (order.verb == wire::Verb::start) ++machine.find(order.task, order.attempt)->directs;
   machine.direct = true;
--- a/src/service/owner_reachability.cpp
+++ b/src/service/owner_reachability.cpp
@@ -49,8 +49,8 @@
 bool Owner::handOver() {
   if (context_.settings.siblings.empty() || resigned_ || !sure()) return false;
   const char* why = nullptr;
-  const bool siblingsSilent = context_.now - context_.siblingHeardAt > constants::kHelloFresh;
-  const bool siblingConfirmed = context_.now - context_.siblingConfirmedAt <= constants::kHelloFresh;
+  const bool siblingsSilent = context_.now - context_.siblingHeardAt > constants::kHeartbeatFresh;
+  const bool siblingConfirmed = context_.now - context_.siblingConfirmedAt <= constants::kHeartbeatFresh;
   if (cuts_.selfCutFor(context_.now) > constants::kSelfCutPatience) {
     why = "hears no workers";
   } else if (siblingConfirmed && cuts_.unreachedFor(context_.now) > constants::kSelfCutPatience) {
@@ -70,7 +70,7 @@
 void Owner::watchSilence() {
   if (context_.now < nextSilenceCheck_ || !reconfirmed()) return;
   nextSilenceCheck_ = context_.now + constants::kTick * 10;
-  pullIn();
+  probeUnheard();
   // Most machines of a zone quiet at once are more likely cut off than dead, and relay needs a while to find
   // its way: condemning them would throw away work that runs. Then only the lease decides, or, shortly before
   // it does, room for their services elsewhere.
@@ -105,24 +105,26 @@
     }
     if (settled && machine.unreachable && silent > goneFor && !cut) condemn(machine, "unreachable");
     // It reports, but nothing that we send arrives: its lease has run out, and it is of no use to anybody.
-    const bool deaf = !machine.echoed && machine.unechoedSince != Time{} &&
-                      context_.now - machine.unechoedSince > settings.leaseOver() + constants::kDeafPatience;
-    if (settled && deaf && machine.phase == MachinePhase::up) condemn(machine, "deaf");
+    const bool unacknowledged =
+        !machine.echoed && machine.unechoedSince != Time{} &&
+        context_.now - machine.unechoedSince > settings.leaseOver() + constants::kUnacknowledgedPatience;
+    if (settled && unacknowledged && machine.phase == MachinePhase::up)
+      condemn(machine, "acknowledges nothing");
   }
   if (context_.now - listeningSince() > goneFor && sure()) moveServices();
 }
 
 // Workers that an earlier leader still answers would stay with it for as long as it believes itself entitled.
 // One that sees our token finds that leader's answers void and comes to us.
-void Owner::pullIn() {
-  if (context_.now - actingSince_ < constants::kPullInAfter || !sure()) return;
-  unsigned left = std::max(constants::kPullInLeast, context_.settings.workerCallsMost() / 4);
+void Owner::probeUnheard() {
+  if (context_.now - actingSince_ < constants::kProbeUnheardAfter || !sure()) return;
+  unsigned left = std::max(constants::kProbeUnheardLeast, context_.settings.workerCallsMost() / 4);
   for (auto& [host, machine] : machines_.all()) {
-    if (machine.phase != MachinePhase::up || machine.sequence != 0 || machine.pulled ||
+    if (machine.phase != MachinePhase::up || machine.sequence != 0 || machine.probedUnheard ||
         machine.endpoint.empty())
       continue;
     if (left-- == 0 || !mayCallWorker()) return;
-    machine.pulled = true;
+    machine.probedUnheard = true;
     inspect(machine);
   }
 }
