--- a/src/placement/round.cpp
+++ b/src/placement/round.cpp
@@ -17,10 +17,10 @@
         return team.cpus > 0 || team.cpusMax > 0 || team.gpus > 0 || team.gpusMax > 0;
       });
   for (Machine* machine : world.machines) {
-    wire::Resources room = machine->total;
+    Bin bin{machine, machine->total, wire::Priority::prod, false, {}};
     for (const machines::Attempt& attempt : machine->attempts) {
       if (!attempt.holdsRoom()) continue;
-      room -= attempt.each;
+      bin.room -= attempt.each;
       if (limited) {
         TeamUse& use = teams_[attempt.team];
         use.cpus += attempt.each.vcpus;
@@ -30,10 +30,15 @@
         const auto found = zoned.find(attempt.task.job.text);
         if (found != zoned.end()) (*found->second)[machine->zone] += 1;
       }
-      if (!attempt.stopWanted) lowestPriority_ = std::min(lowestPriority_, attempt.priority);
+      if (attempt.stopWanted) {
+        bin.stopping = true;
+      } else {
+        bin.lowest = std::min(bin.lowest, attempt.priority);
+      }
     }
-    if (takesWork(*machine)) bins_.push_back(Bin{machine, room, {}});
-    if (!canBeTold(*machine)) noteUntold(*machine);
+    lowestPriority_ = std::min(lowestPriority_, bin.lowest);
+    if (takesWork(*machine)) bins_.push_back(std::move(bin));
+    if (!isReachable(*machine)) noteUnreachable(*machine);
   }
   anyOverGuarantee_ = std::any_of(teams_.begin(), teams_.end(),
                                   [this](const auto& entry) { return overGuarantee(entry.first); });
@@ -52,7 +57,7 @@
 bool Round::takesWork(const Machine& machine) const {
   if (machine.phase != machines::MachinePhase::up || machine.recordBusy || machine.sick) return false;
   // Heard from in both directions under this term: what is known of it from records, late copies of reports
-  // or one deaf way alone is no reason to give it work.
+  // or one direction alone is no reason to give it work.
   if (!machine.echoed || machine.suspectUntil > world_.now) return false;
   const auto silent = wire::seconds(world_.settings.reportS * constants::kSilentReports);
   return world_.now - machine.lastHeard <= silent && !machine.spotNoticeAt;
