--- /dev/null
+++ b/src/admin/share_editor.cpp
@@ -0,0 +1,97 @@
+#include "admin/share_editor.hpp"
+
+#include <utility>
+
+namespace reachhoist::admin {
+
+namespace {
+
+EditVerdict verdictOf(shares::ChangeVerdict verdict) {
+  switch (verdict) {
+    case shares::ChangeVerdict::changed:
+      return EditVerdict::changed;
+    case shares::ChangeVerdict::repeated:
+      return EditVerdict::repeated;
+    case shares::ChangeVerdict::staleGeneration:
+      return EditVerdict::stale;
+    case shares::ChangeVerdict::invalid:
+      return EditVerdict::invalid;
+  }
+  return EditVerdict::invalid;
+}
+
+}  // namespace
+
+ShareEdit::ShareEdit(state::Client& client, const config::Settings& settings, shares::Change change,
+                     Time deadline, Done done)
+    : client_(client),
+      settings_(settings),
+      change_(std::move(change)),
+      deadline_(deadline),
+      done_(std::move(done)) {}
+
+void ShareEdit::start(Time now) {
+  now_ = now;
+  read();
+}
+
+void ShareEdit::tick(Time now) {
+  now_ = now;
+  if (finished()) return;
+  if (now >= deadline_)
+    return finish({EditVerdict::unavailable, 0, {"state service", "gave no definite answer in time"}});
+  if (state_ == State::waiting && now >= retryAt_) read();
+}
+
+void ShareEdit::retry() {
+  retryAt_ = now_ + constants::kStateBackoff;
+  to(State::waiting);
+}
+
+void ShareEdit::finish(EditResult result) {
+  if (finished()) return;
+  to(State::finished);
+  done_(result);
+}
+
+void ShareEdit::read() {
+  to(State::reading);
+  client_.get(now_, state::Urgency::rest, shares::kTableKey,
+              [self = shared_from_this()](const wire::CallResult& result) {
+                if (self->state_ == State::reading) self->onRead(result);
+              });
+}
+
+void ShareEdit::onRead(const wire::CallResult& result) {
+  if (result.status == 404)
+    return finish({EditVerdict::absent, 0, {"table", "is not stored: shares are off"}});
+  const auto stamp = wire::countField(result.body, "stamp");
+  const wire::Json* value = wire::field(result.body, "value");
+  if (!result.ok() || !stamp || value == nullptr) return retry();
+  shares::Table table;
+  if (const auto problem = shares::decode(*value, table)) return finish({EditVerdict::damaged, 0, *problem});
+  const auto outcome = shares::apply(change_, settings_, table);
+  if (outcome.verdict != shares::ChangeVerdict::changed)
+    return finish({verdictOf(outcome.verdict), outcome.generation, outcome.problem});
+  write(table, *stamp);
+}
+
+void ShareEdit::write(const shares::Table& table, std::uint64_t stamp) {
+  to(State::writing);
+  state::Transaction transaction;
+  transaction.conditions.push_back({shares::kTableKey, stamp});
+  transaction.writes.push_back({shares::kTableKey, shares::encode(table), std::nullopt});
+  client_.multi(now_, state::Urgency::rest, transaction,
+                [self = shared_from_this(), generation = table.generation](const wire::CallResult& result) {
+                  if (self->state_ == State::writing) self->onWritten(result, generation);
+                });
+}
+
+void ShareEdit::onWritten(const wire::CallResult& result, std::uint64_t generation) {
+  if (result.ok()) return finish({EditVerdict::changed, generation, {}});
+  // Somebody else was faster, or nobody knows: the table that is stored now tells, by the request's id,
+  // whether this was carried out.
+  retry();
+}
+
+}  // namespace reachhoist::admin
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -55,6 +55,8 @@
   auto problem = reachhoist::config::loadPlatform(path, settings);
   if (!problem && !operatorsPath.empty())
     problem = reachhoist::config::loadOperators(operatorsPath, settings);
+  if (reachhoist::shares::Table table; !problem && settings.operators.shares.on)
+    problem = reachhoist::shares::fromOperators(settings, table);
   if (problem) {
     std::cerr << "reachhoist: " << problem->field << " " << problem->reason << "\n";
     return 1;
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -218,4 +218,13 @@
     0.09;  // of the CPUs that services and gangs use, free on ordinary machines for the length of a boot
 inline constexpr double kSpareShare = 0.12;  // of the rooms used by prod work, kept free for its next
 
+// --- Shares ---------------------------------------------------------------------------------------------
+inline constexpr std::size_t kShareGroupsMost = 64;  // groups of a table: its record stays below value limits
+inline constexpr double kShareWeightMost = 1e6;      // ratios beyond this are mistakes
+inline constexpr std::size_t kShareRequestsKept = 8;    // ids of changes that a repeat is told by
+inline constexpr std::size_t kShareRequestIdMost = 40;  // bytes of such an id: a UUID and a little more
+inline constexpr double kReportSpread = 1.25;           // times report_s: the longest that a worker waits
+inline constexpr milliseconds kShareStatusEvery = 5s;  // the groups' status is written this often, if changed
+inline constexpr milliseconds kShareWriteRetry = 2s;   // between tries to write the first table
+
 }  // namespace reachhoist::constants
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -1,16 +1,9 @@
 #include "config/settings.hpp"
 
-#include <confuse.h>
-
-#include <array>
 #include <cmath>
-#include <cstdarg>
-#include <cstdio>
-#include <cstdlib>
-#include <fstream>
-#include <memory>
 #include <sstream>
 
+#include "config/file.hpp"
 #include "wire/codec.hpp"
 
 namespace reachhoist::config {
@@ -19,14 +12,6 @@
 
 using wire::Json;
 
-std::optional<std::string> readFile(const std::string& path) {
-  std::ifstream in(path, std::ios::binary);
-  if (!in) return std::nullopt;
-  std::ostringstream text;
-  text << in.rdbuf();
-  return text.str();
-}
-
 // "a.b.1.2.3.4:80"-like checks beyond shape are the network layer's; here only host:port is asked for.
 bool looksLikeEndpoint(const std::string& text) {
   const auto colon = text.rfind(':');
@@ -245,101 +230,4 @@
   return parsePlatform(*text, out);
 }
 
-namespace {
-
-struct CfgFree {
-  void operator()(cfg_t* cfg) const { cfg_free(cfg); }
-};
-
-struct NumberKey {
-  const char* name;
-  double least;
-  double most;
-  double Operators::*real;
-  int Operators::*whole;
-};
-
-constexpr NumberKey kSizingKeys[] = {
-    {"round_s", 5, 3600, &Operators::sizingRoundS, nullptr},
-    {"scale_up_cooldown_s", 0, 3600, &Operators::scaleUpCooldownS, nullptr},
-    {"scale_down_cooldown_s", 0, 3600, &Operators::scaleDownCooldownS, nullptr},
-    {"step_divisor", 1, 1000, nullptr, &Operators::stepDivisor},
-    {"probe_chance", 0, 1, &Operators::probeChance, nullptr},
-    {"probe_decay", 0, 1, &Operators::probeDecay, nullptr},
-    {"probe_floor", 0, 1, &Operators::probeFloor, nullptr},
-    {"episodes", 1, 100, nullptr, &Operators::episodes},
-    {"spare_share", 0, 2, &Operators::spareShare, nullptr},
-    {"reserve_share", 0, 2, &Operators::reserveShare, nullptr},
-    {"idle_return_s", 5, 3600, &Operators::idleReturnS, nullptr},
-};
-
-std::optional<Problem> setNumber(cfg_t* section, const NumberKey& known, Operators& out) {
-  cfg_opt_t* option = cfg_getopt(section, known.name);
-  // Without a value in the file the default stays.
-  if (option == nullptr || cfg_opt_size(option) == 0) return std::nullopt;
-  const std::string path = std::string("sizing.") + known.name;
-  // Read as text, so that 30, 30.5 and "30" are all told apart from what is no number.
-  const std::string text = cfg_opt_getnstr(option, 0);
-  char* end = nullptr;
-  const double number = std::strtod(text.c_str(), &end);
-  if (text.empty() || *end != '\0' || !(number >= known.least) || !(number <= known.most)) {
-    std::ostringstream reason;
-    reason << "must be a number from " << known.least << " to " << known.most;
-    return Problem{path, reason.str()};
-  }
-  if (known.real != nullptr) {
-    out.*known.real = number;
-  } else if (number != std::floor(number)) {
-    return Problem{path, "must be a whole number"};
-  } else {
-    out.*known.whole = static_cast<int>(number);
-  }
-  return std::nullopt;
-}
-
-// The parser's complaint, on one line, kept where its callback can reach it: the settings' own object.
-void keepComplaint(cfg_t* cfg, const char* format, va_list arguments) {
-  std::array<char, 256> line{};
-  std::vsnprintf(line.data(), line.size(), format, arguments);
-  // The top-level options hold a place for it, since the callback gets nothing else.
-  cfg_t* top = cfg;
-  if (cfg_opt_t* place = cfg_getopt(top, "__complaint"); place != nullptr && cfg_opt_size(place) == 0)
-    cfg_opt_setnstr(place, ("line " + std::to_string(cfg->line) + ": " + line.data()).c_str(), 0);
-}
-
-}  // namespace
-
-std::optional<Problem> parseOperators(const std::string& text, Settings& out) {
-  std::vector<cfg_opt_t> keys;
-  for (const NumberKey& known : kSizingKeys) keys.push_back(CFG_STR(known.name, nullptr, CFGF_NODEFAULT));
-  keys.push_back(CFG_STR("__complaint", nullptr, CFGF_NODEFAULT));
-  keys.push_back(CFG_END());
-  std::vector<cfg_opt_t> top = {CFG_SEC("sizing", keys.data(), CFGF_NONE),
-                                CFG_STR("__complaint", nullptr, CFGF_NODEFAULT), CFG_END()};
-  const std::unique_ptr<cfg_t, CfgFree> cfg(cfg_init(top.data(), CFGF_NONE));
-  cfg_set_error_function(cfg.get(), keepComplaint);
-  cfg_t* section = nullptr;
-  const int status = cfg_parse_buf(cfg.get(), text.c_str());
-  section = cfg_getsec(cfg.get(), "sizing");
-  if (status != CFG_SUCCESS) {
-    for (cfg_t* place : {cfg.get(), section}) {
-      if (place == nullptr) continue;
-      cfg_opt_t* kept = cfg_getopt(place, "__complaint");
-      if (kept != nullptr && cfg_opt_size(kept) > 0)
-        return Problem{"operators' file", cfg_opt_getnstr(kept, 0)};
-    }
-    return Problem{"operators' file", "cannot be parsed"};
-  }
-  if (section == nullptr) return std::nullopt;
-  for (const NumberKey& known : kSizingKeys)
-    if (auto problem = setNumber(section, known, out.operators)) return problem;
-  return std::nullopt;
-}
-
-std::optional<Problem> loadOperators(const std::string& path, Settings& out) {
-  const auto text = readFile(path);
-  if (!text) return Problem{path, "cannot be read"};
-  return parseOperators(*text, out);
-}
-
 }  // namespace reachhoist::config
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -32,6 +32,20 @@
   double times = 0;
 };
 
+struct ShareLine {
+  std::string group;
+  double weight = 0;
+};
+
+// The block `shares`; without it nothing is divided.
+struct ShareSettings {
+  bool on = false;
+  std::uint64_t generation = 1;  // of the table below; an older one never replaces a newer one that is stored
+  double othersWeight = 1;
+  double reclaimStep = 0.1;  // part of the capacity that is reclaimed at once
+  std::vector<ShareLine> groups;
+};
+
 // What operators may set themselves; every value has a default.
 struct Operators {
   double sizingRoundS = 30;
@@ -45,6 +59,7 @@
   double spareShare = constants::kSpareShare;
   double reserveShare = constants::kReserveShare;
   double idleReturnS = 45;
+  ShareSettings shares;
 };
 
 struct Settings {
--- a/src/placement/gangs.cpp
+++ b/src/placement/gangs.cpp
@@ -86,10 +86,13 @@
 
 void Round::makeRoomForGang(const Job& job) {
   const bool guaranteed = withinGuarantee(job.spec.ref.text);
-  if (job.spec.priority <= lowestPriority_ && !(guaranteed && anyOverGuarantee_)) return;
+  const bool entitled = ledger_ && ledger_->mayClaim(job);
+  if (entitled) entitled_.push_back(&job);
+  const bool reclaims = entitled && world_.mayReclaim && ledger_->withinStep();
+  if (job.spec.priority <= lowestPriority_ && !(guaranteed && anyOverGuarantee_) && !reclaims) return;
   struct Option {
     double cost = 0;
-    const Bin* bin = nullptr;
+    Bin* bin = nullptr;
     std::vector<const machines::Attempt*> victims;
   };
   std::vector<Option> best;
@@ -97,7 +100,7 @@
   for (const std::string& zone : gangZones(job)) {
     std::uint32_t fit = 0;
     std::vector<Option> options;
-    for (const Bin& bin : bins_) {
+    for (Bin& bin : bins_) {
       if ((!zone.empty() && bin.machine->zone != zone) || !usable(bin, job)) continue;
       wire::Resources room = bin.room;
       std::vector<const machines::Attempt*> candidates;
@@ -105,7 +108,8 @@
         if (!attempt.holdsRoom()) continue;
         if (attempt.stopWanted || stopped_.contains(attempt.number)) {
           room += attempt.each;  // on its way out
-        } else if (!attempt.gang && mayStop(job, guaranteed, attempt)) {
+        } else if (!attempt.gang &&
+                   (mayStop(job, guaranteed, attempt) || (reclaims && mayReclaim(job, attempt)))) {
           candidates.push_back(&attempt);
         }
       }
@@ -143,9 +147,18 @@
     best = std::move(options);
   }
   if (plan_.stops.size() + best.size() > world_.maxStops) return;
+  if (reclaims) {
+    std::vector<const machines::Attempt*> reclaimed;
+    for (const Option& option : best)
+      for (const auto* victim : option.victims)
+        if (!mayStop(job, guaranteed, *victim)) reclaimed.push_back(victim);
+    if (!giveAll(reclaimed)) return;
+    ledger_->claim(job);
+  }
   for (const Option& option : best) {
     for (const auto* victim : option.victims) {
       if (!stopped_.insert(victim->number).second) continue;
+      option.bin->leaving += victim->each;  // awaited by the gang from now on
       plan_.stops.push_back(Stop{option.bin->machine, victim->task, victim->number,
                                  victim->saves ? victim->checkpointS + 1 : 0});
     }
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -4,9 +4,11 @@
 
 #include <map>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "machines/machines.hpp"
+#include "shares/census.hpp"
 
 namespace reachhoist::placement {
 
@@ -37,6 +39,7 @@
   std::vector<Assignment> assignments;
   std::vector<Stop> stops;
   std::vector<Unmet> unmet;
+  std::size_t reclaimed = 0;  // of the stops, those for the sake of shares; a gang counts once
 };
 
 struct TeamUse {
@@ -54,6 +57,8 @@
   std::size_t maxJobs = 30;        // conditions left for jobs in one transaction
   std::size_t maxTasks = constants::kTasksPerRound;
   std::size_t maxStops = constants::kStopsPerRound;
+  const shares::Table* shares = nullptr;  // none: nothing is divided
+  bool mayReclaim = false;                // whether this round may stop work for the sake of shares
 };
 
 // Whether machines of this kind may run the job at all (its other tasks aside).
@@ -61,6 +66,14 @@
 
 Plan plan(const World& world);
 
+// Refs of the jobs within their team's guarantee: those that fit into it together with the team's earlier
+// unfinished jobs.
+std::unordered_set<std::string> guaranteedJobs(const config::Settings& settings,
+                                               const std::vector<const Job*>& open);
+
+// Which jobs are served first whatever the shares are: services and the like, and work within a guarantee.
+shares::RanksAbove ranksAboveShares(const config::Settings& settings, const std::vector<const Job*>& open);
+
 // Whether one more task may go to the zone (`oneZone`, `apart`), given those placed now.
 bool zoneAllows(const wire::JobSpec& job, const std::map<std::string, std::uint32_t>& placed,
                 const std::string& zone);
--- a/src/placement/preemption.cpp
+++ b/src/placement/preemption.cpp
@@ -11,21 +11,34 @@
   return team != nullptr && team->cpus > 0 && use(name).cpus > team->cpus + 1e-6;
 }
 
-bool Round::mayStop(const Job& job, bool guaranteed, const machines::Attempt& attempt) const {
-  using machines::AttemptPhase;
-  if (attempt.stopWanted || attempt.team.empty()) return false;
-  if (attempt.phase != AttemptPhase::recorded && attempt.phase != AttemptPhase::pulling &&
-      attempt.phase != AttemptPhase::running)
-    return false;
+bool Round::outranks(const Job& job, bool guaranteed, const machines::Attempt& attempt) const {
   if (withinGuarantee(attempt.task.job.text) && !guaranteed) return false;
   if (attempt.priority < job.spec.priority) return true;
   return guaranteed && !withinGuarantee(attempt.task.job.text) && attempt.priority <= job.spec.priority &&
          attempt.team != job.spec.team && overGuarantee(attempt.team);
 }
 
-void Round::makeRoom(const Job& job, std::uint32_t tasks) {
+bool Round::isStoppable(const machines::Attempt& attempt) {
+  using machines::AttemptPhase;
+  if (attempt.stopWanted || attempt.team.empty()) return false;
+  return attempt.phase == AttemptPhase::recorded || attempt.phase == AttemptPhase::pulling ||
+         attempt.phase == AttemptPhase::running;
+}
+
+bool Round::mayStop(const Job& job, bool guaranteed, const machines::Attempt& attempt) const {
+  return isStoppable(attempt) && outranks(job, guaranteed, attempt);
+}
+
+std::uint32_t Round::makeRoom(const Job& job, std::uint32_t tasks) {
   const bool guaranteed = withinGuarantee(job.spec.ref.text);
-  if (job.spec.priority <= lowestPriority_ && !(guaranteed && anyOverGuarantee_)) return;
+  if (job.spec.priority <= lowestPriority_ && !(guaranteed && anyOverGuarantee_)) return 0;
+  std::uint32_t covered = ledger_ ? countComing(job, tasks) : comingFor(job);
+  for (; covered < tasks && plan_.stops.size() < world_.maxStops; ++covered)
+    if (!stopFor(job, guaranteed)) break;
+  return covered;
+}
+
+std::uint32_t Round::comingFor(const Job& job) const {
   // Room that is being made already counts: otherwise every round would stop more for the same task.
   std::uint32_t coming = 0;
   for (const Bin& bin : bins_) {
@@ -38,8 +51,7 @@
       ++coming;
     }
   }
-  for (std::uint32_t i = coming; i < tasks && plan_.stops.size() < world_.maxStops; ++i)
-    if (!stopFor(job, guaranteed)) return;
+  return coming;
 }
 
 bool Round::stopFor(const Job& job, bool guaranteed) {
@@ -77,6 +89,7 @@
   if (bestBin == nullptr) return false;
   for (const auto* victim : bestVictims) {
     stopped_.insert(victim->number);
+    if (ledger_) ledger_->leave(*victim);
     bestBin->room += victim->each;
     plan_.stops.push_back(
         Stop{bestBin->machine, victim->task, victim->number, victim->saves ? victim->checkpointS + 1 : 0});
--- /dev/null
+++ b/src/placement/reclaim.cpp
@@ -0,0 +1,164 @@
+// Shares: groups that have what they are entitled to are held, and those above it give room to those below.
+#include <algorithm>
+#include <utility>
+
+#include "placement/round.hpp"
+
+namespace reachhoist::placement {
+
+void Round::openLedger() {
+  const auto ranksAbove = [this](const Job& job) {
+    return job.spec.priority >= wire::Priority::high || withinGuarantee(job.spec.ref.text);
+  };
+  ledger_.emplace(
+      shares::takeCensus(*world_.shares, world_.settings, world_.machines, world_.open, ranksAbove),
+      world_.settings.operators.shares.reclaimStep);
+}
+
+void Round::placeHeld() {
+  for (const auto& [turn, progress] : std::exchange(heldByShare_, {})) placeHeldJob(turn, progress);
+}
+
+void Round::placeHeldJob(const Turn& turn, Fill progress) {
+  Job& job = *turn.job;
+  if (job.isGang()) {
+    if (entitled_.empty()) return placeGang(job);
+    plan_.unmet.push_back(Unmet{&job, job.spec.taskCount});
+    return;
+  }
+  if (job.failures.jobAtFault()) return;
+  progress.limit = FillLimit::none;
+  if (jobs_ < world_.maxJobs) {
+    const std::uint32_t before = progress.taken;
+    fill(job, mostOf(turn) - std::min(before, mostOf(turn)), BeyondShare::leftover, progress);
+    if (progress.taken > before) ++jobs_;
+  }
+  // Sizing hears of the rest as ever: the fleet grows for all that waits, shares divide what there is.
+  std::uint32_t left = job.waiting - progress.taken;
+  if (progress.limit == FillLimit::team) return;
+  left = withinTeamLimit(job, left);
+  if (left > 0) plan_.unmet.push_back(Unmet{&job, left});
+}
+
+bool Round::isAwaited(const Bin& bin) const {
+  wire::Resources room = bin.room;
+  room += bin.leaving;
+  return std::any_of(entitled_.begin(), entitled_.end(),
+                     [&](const Job* job) { return job->spec.each.fitsIn(room) && usable(bin, *job); });
+}
+
+std::uint32_t Round::countComing(const Job& job, std::uint32_t tasks) {
+  std::uint32_t coming = 0;
+  for (Bin& bin : bins_) {
+    if (coming >= tasks) break;
+    if (!bin.stopping || !usable(bin, job)) continue;
+    wire::Resources room = bin.room;
+    room += bin.leaving;
+    room -= bin.promised;
+    for (; coming < tasks && job.spec.each.fitsIn(room); ++coming) {
+      room -= job.spec.each;
+      bin.promised += job.spec.each;
+    }
+  }
+  return coming;
+}
+
+void Round::reclaim(const Job& job, std::uint32_t tasks, std::uint32_t covered) {
+  for (std::uint32_t i = 0; i < covered; ++i) ledger_->claim(job);
+  if (jobs_ >= world_.maxJobs || !ledger_->mayTake(job)) return;
+  entitled_.push_back(&job);
+  const std::uint32_t coming = countComing(job, tasks - std::min(covered, tasks));
+  for (std::uint32_t i = 0; i < coming; ++i) ledger_->claim(job);
+  covered += coming;
+  if (!world_.mayReclaim || !ledger_->withinStep() || covered >= tasks || !ledger_->mayClaim(job)) return;
+  std::vector<Yield> heap;
+  for (std::size_t at = 0; at < bins_.size(); ++at)
+    if (auto yield = yieldOf(job, at)) heap.push_back(std::move(*yield));
+  std::make_heap(heap.begin(), heap.end());
+  while (!heap.empty() && covered < tasks && ledger_->withinStep() && ledger_->mayClaim(job)) {
+    std::pop_heap(heap.begin(), heap.end());
+    const Yield ranked = std::move(heap.back());
+    heap.pop_back();
+    // What was taken since it was ranked may have changed what this machine can give.
+    auto yield = yieldOf(job, ranked.bin);
+    if (!yield) continue;
+    if (yield->cost <= ranked.cost) {
+      takeYield(job, *yield);
+      ++covered;
+      yield = yieldOf(job, ranked.bin);
+      if (!yield) continue;
+    }
+    heap.push_back(std::move(*yield));
+    std::push_heap(heap.begin(), heap.end());
+  }
+}
+
+std::optional<Round::Yield> Round::yieldOf(const Job& job, std::size_t at) const {
+  const Bin& bin = bins_[at];
+  const Machine& machine = *bin.machine;
+  if (bin.lowest > job.spec.priority || !usable(bin, job)) return std::nullopt;
+  if (job.spec.oneZone || job.spec.apart) {
+    const auto placed = placed_.find(job.spec.ref.text);
+    if (placed != placed_.end() && !zoneAllows(job.spec, placed->second, machine.zone)) return std::nullopt;
+  }
+  std::vector<const machines::Attempt*> candidates;
+  for (const machines::Attempt& attempt : machine.attempts)
+    if (mayReclaim(job, attempt)) candidates.push_back(&attempt);
+  std::sort(candidates.begin(), candidates.end(),
+            [this](const auto* a, const auto* b) { return loss(*a) < loss(*b); });
+  Yield yield;
+  yield.bin = at;
+  yield.cost = machine.has(job.spec.image) ? 0 : job.spec.sizeGb / std::max(machine.pullGbPerS, 0.01);
+  wire::Resources room = bin.room;
+  room += bin.leaving;
+  room -= bin.promised;
+  shares::Ledger::Trial trial(*ledger_);
+  for (const auto* victim : candidates) {
+    if (job.spec.each.fitsIn(room)) break;
+    if (!trial.mayGive(*victim)) continue;
+    trial.give(*victim);
+    room += victim->each;
+    yield.cost += loss(*victim) + 1;
+    yield.victims.push_back(victim);
+  }
+  if (yield.victims.empty() || !job.spec.each.fitsIn(room)) return std::nullopt;
+  return yield;
+}
+
+void Round::takeYield(const Job& job, const Yield& yield) {
+  Bin& bin = bins_[yield.bin];
+  for (const auto* victim : yield.victims) {
+    ledger_->give(*victim);
+    stopForShare(bin, *victim);
+  }
+  bin.promised += job.spec.each;
+  ledger_->claim(job);
+  if (job.spec.apart || job.spec.oneZone) placed_[job.spec.ref.text][bin.machine->zone] += 1;
+}
+
+void Round::stopForShare(Bin& bin, const machines::Attempt& victim) {
+  stopped_.insert(victim.number);
+  bin.leaving += victim.each;
+  bin.stopping = true;
+  plan_.stops.push_back(
+      Stop{bin.machine, victim.task, victim.number, victim.saves ? victim.checkpointS + 1 : 0});
+  ++plan_.reclaimed;
+}
+
+bool Round::giveAll(const std::vector<const machines::Attempt*>& victims) {
+  shares::Ledger::Trial trial(*ledger_);
+  for (const auto* victim : victims) {
+    if (!trial.mayGive(*victim)) return false;
+    trial.give(*victim);
+  }
+  for (const auto* victim : victims) ledger_->give(*victim);
+  plan_.reclaimed += victims.size();
+  return true;
+}
+
+bool Round::mayReclaim(const Job& job, const machines::Attempt& attempt) const {
+  return isStoppable(attempt) && !stopped_.contains(attempt.number) &&
+         attempt.priority <= job.spec.priority && ledger_->mayGive(attempt);
+}
+
+}  // namespace reachhoist::placement
--- a/src/placement/round.cpp
+++ b/src/placement/round.cpp
@@ -17,7 +17,7 @@
         return team.cpus > 0 || team.cpusMax > 0 || team.gpus > 0 || team.gpusMax > 0;
       });
   for (Machine* machine : world.machines) {
-    Bin bin{machine, machine->total, wire::Priority::prod, false, {}};
+    Bin bin{machine, machine->total, wire::Priority::prod, false, {}, {}, {}};
     for (const machines::Attempt& attempt : machine->attempts) {
       if (!attempt.holdsRoom()) continue;
       bin.room -= attempt.each;
@@ -30,6 +30,7 @@
         const auto found = zoned.find(attempt.task.job.text);
         if (found != zoned.end()) (*found->second)[machine->zone] += 1;
       }
+      if (shares::isLeaving(attempt)) bin.leaving += attempt.each;
       if (attempt.stopWanted) {
         bin.stopping = true;
       } else {
@@ -45,12 +46,14 @@
 }
 
 Plan Round::run() {
-  findGuaranteed();
+  guaranteed_ = guaranteedJobs(world_.settings, world_.open);
+  if (world_.shares != nullptr) openLedger();
   std::vector<Turn> order;
   order.reserve(world_.jobs.size());
   for (Job* job : world_.jobs) order.push_back(turnOf(*job));
   std::stable_sort(order.begin(), order.end(), before);
-  for (const Turn& turn : order) placeJob(*turn.job, turn.tier);
+  for (const Turn& turn : order) placeJob(turn);
+  if (ledger_) placeHeld();
   return std::move(plan_);
 }
 
@@ -72,31 +75,11 @@
   return found == teams_.end() ? TeamUse{} : found->second;
 }
 
-void Round::findGuaranteed() {
-  std::unordered_map<std::string_view, std::vector<const Job*>> byTeam;
-  for (const Job* job : world_.open) byTeam[job->spec.team].push_back(job);
-  for (const config::Team& team : world_.settings.teams) {
-    if (team.cpus <= 0 && team.gpus <= 0) continue;
-    const auto found = byTeam.find(team.name);
-    if (found == byTeam.end()) continue;
-    auto& jobs = found->second;
-    std::sort(jobs.begin(), jobs.end(),
-              [](const Job* a, const Job* b) { return a->acceptedMs < b->acceptedMs; });
-    TeamUse sum;
-    for (const Job* job : jobs) {
-      const double left = job->spec.taskCount - job->completed;
-      sum.cpus += job->spec.each.vcpus * left;
-      sum.gpus += job->spec.each.accelerators * left;
-      if (sum.cpus > team.cpus + 1e-6 || sum.gpus > team.gpus + 1e-6) break;
-      guaranteed_.insert(job->spec.ref.text);
-    }
-  }
-}
-
 Turn Round::turnOf(Job& job) const {
   if (job.spec.priority >= wire::Priority::high) return Turn{&job, Tier::byPriority, 0};
   const Call call = nextCall(job, world_.settings, world_.wallMs);
   if (withinGuarantee(job.spec.ref.text)) return Turn{&job, Tier::guaranteed, call.latestStartMs};
+  if (ledger_ && ledger_->mustGoOn(job)) return Turn{&job, Tier::overlooked, job.acceptedMs};
   if (world_.now - job.lastPlaced > constants::kOverlookedAfter)
     return Turn{&job, Tier::overlooked, job.acceptedMs};
   return Turn{&job, call.reachable ? Tier::reachable : Tier::late, call.latestStartMs};
@@ -147,7 +130,7 @@
   return zoneAllows(job.spec, placed_[job.spec.ref.text], zone);
 }
 
-std::uint32_t Round::fill(Job& job, std::uint32_t most, bool& blockedByTeam) {
+void Round::fill(Job& job, std::uint32_t most, BeyondShare beyond, Fill& progress) {
   struct Choice {
     double seconds;
     std::size_t bin;
@@ -155,18 +138,23 @@
       return seconds != other.seconds ? seconds > other.seconds : bin > other.bin;
     }
   };
+  const bool leftover = beyond == BeyondShare::leftover;
   std::vector<Choice> heap;
   for (std::size_t i = 0; i < bins_.size(); ++i)
-    if (job.spec.each.fitsIn(bins_[i].room) && usable(bins_[i], job))
+    if (job.spec.each.fitsIn(bins_[i].room) && usable(bins_[i], job) && !(leftover && isAwaited(bins_[i])))
       heap.push_back(Choice{delay(bins_[i], job), i});
   std::make_heap(heap.begin(), heap.end());
   std::uint32_t taken = 0;
-  std::uint32_t index = job.firstWaiting;
+  std::uint32_t& index = progress.index;
   while (!heap.empty() && taken < most && plan_.assignments.size() < world_.maxTasks) {
     while (index < job.spec.taskCount && job.tasks[index] != jobs::TaskPhase::waiting) ++index;
     if (index >= job.spec.taskCount) break;
     if (!withinLimit(job)) {
-      blockedByTeam = true;
+      progress.limit = FillLimit::team;
+      break;
+    }
+    if (!leftover && !withinShare(job) && !(beyond == BeyondShare::one && taken == 0)) {
+      progress.limit = FillLimit::share;
       break;
     }
     std::pop_heap(heap.begin(), heap.end());
@@ -180,39 +168,54 @@
     heap.push_back(Choice{delay(bin, job), at});
     std::push_heap(heap.begin(), heap.end());
   }
-  return taken;
+  progress.taken += taken;
 }
 
-void Round::placeJob(Job& job, Tier tier) {
+void Round::placeJob(const Turn& turn) {
+  Job& job = *turn.job;
   if (job.waiting == 0 || std::max(job.heldUntil, job.failures.heldUntil()) > world_.now) return;
+  Fill progress{job.firstWaiting, 0, FillLimit::none};
+  // What has waited too long gets a start whatever its group has.
+  const bool overlooked = turn.tier == Tier::overlooked;
+  if (!overlooked && !withinShare(job)) return heldByShare_.emplace_back(turn, progress), void();
   if (job.isGang()) return placeGang(job);
   if (job.failures.jobAtFault()) return tryAgain(job);
-  const std::uint32_t most =
-      tier == Tier::overlooked ? std::max(1U, job.waiting / constants::kOverlookedShare) : job.waiting;
-  bool blockedByTeam = false;
-  std::uint32_t left = job.waiting;
+  const std::uint32_t most = mostOf(turn);
   if (jobs_ < world_.maxJobs) {
-    const std::uint32_t taken = fill(job, most, blockedByTeam);
-    left -= taken;
-    if (taken > 0) ++jobs_;
-  }
-  if (left == 0 || blockedByTeam) return;
-  // Only what the team's limit lets start is asked of sizing.
-  if (const config::Team* team = world_.settings.team(job.spec.team); team != nullptr && team->cpusMax > 0) {
-    const double free = team->cpusMax - use(job.spec.team).cpus;
-    left = std::min(
-        left, static_cast<std::uint32_t>(std::max(0.0, free / std::max(job.spec.each.vcpus, 0.01) + 1e-6)));
+    fill(job, most, overlooked ? BeyondShare::one : BeyondShare::no, progress);
+    if (progress.taken > 0) ++jobs_;
   }
+  std::uint32_t left = job.waiting - progress.taken;
+  if (left == 0 || progress.limit == FillLimit::team) return;
+  if (progress.limit == FillLimit::share) return heldByShare_.emplace_back(turn, progress), void();
+  left = withinTeamLimit(job, left);
   if (left == 0) return;
   plan_.unmet.push_back(Unmet{&job, left});
-  if (plan_.assignments.size() < world_.maxTasks && tier <= Tier::overlooked)
-    makeRoom(job, std::min(left, most));
+  if (plan_.assignments.size() >= world_.maxTasks) return;
+  const std::uint32_t wanted = std::min(left, most);
+  const std::uint32_t covered = turn.tier <= Tier::overlooked ? makeRoom(job, wanted) : 0;
+  if (ledger_) reclaim(job, wanted, covered);
+}
+
+std::uint32_t Round::mostOf(const Turn& turn) {
+  const std::uint32_t waiting = turn.job->waiting;
+  return turn.tier == Tier::overlooked ? std::max(1U, waiting / constants::kOverlookedShare) : waiting;
+}
+
+// Only what the team's limit lets start is asked of sizing.
+std::uint32_t Round::withinTeamLimit(const Job& job, std::uint32_t tasks) const {
+  const config::Team* team = world_.settings.team(job.spec.team);
+  if (team == nullptr || team->cpusMax <= 0) return tasks;
+  const double free = team->cpusMax - use(job.spec.team).cpus;
+  return std::min(
+      tasks, static_cast<std::uint32_t>(std::max(0.0, free / std::max(job.spec.each.vcpus, 0.01) + 1e-6)));
 }
 
 void Round::tryAgain(Job& job) {
   if (job.placed >= constants::kWrongJobTrial || jobs_ >= world_.maxJobs) return;
-  bool blockedByTeam = false;
-  if (fill(job, constants::kWrongJobTrial - job.placed, blockedByTeam) > 0) ++jobs_;
+  Fill progress{job.firstWaiting, 0, FillLimit::none};
+  fill(job, constants::kWrongJobTrial - job.placed, BeyondShare::no, progress);
+  if (progress.taken > 0) ++jobs_;
 }
 
 void Round::take(Bin& bin, Job& job, std::uint32_t index) {
@@ -222,6 +225,7 @@
   TeamUse& now = teams_[job.spec.team];
   now.cpus += job.spec.each.vcpus;
   now.gpus += job.spec.each.accelerators;
+  if (ledger_) ledger_->take(job);
   plan_.assignments.push_back(Assignment{&job, index, bin.machine});
 }
 
--- a/src/placement/round.hpp
+++ b/src/placement/round.hpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "placement/planner.hpp"
+#include "shares/ledger.hpp"
 
 namespace reachhoist::placement {
 
@@ -22,6 +24,8 @@
   wire::Resources room;
   wire::Priority lowest = wire::Priority::prod;  // of what it has and what isn't being stopped
   bool stopping = false;                         // something on it is on its way out
+  wire::Resources leaving;                       // held by what is on its way out
+  wire::Resources promised;                      // of room and of that, what jobs count on
   std::vector<const std::string*> planned;       // images that this round's tasks bring
 
   bool brings(const std::string& image) const {
@@ -59,8 +63,6 @@
   static bool avoids(const Job& job, const Machine& machine);
   // What the team uses now, this round's placements included.
   TeamUse use(const std::string& team) const;
-  // A job is within its team's guarantee if it fits there together with the team's earlier unfinished jobs.
-  void findGuaranteed();
   bool withinGuarantee(const std::string& ref) const { return guaranteed_.contains(ref); }
   // The job's place in the order.
   Turn turnOf(Job& job) const;
@@ -74,7 +76,16 @@
   // Whether one more of its tasks may go to the zone.
   bool zoneOpen(const Job& job, const std::string& zone);
   // The tasks of a job are alike, so its machines are ranked once and only the one just used anew.
-  std::uint32_t fill(Job& job, std::uint32_t most, bool& blockedByTeam);
+  enum class FillLimit { none, team, share };
+  // How far a job has been given places in this round.
+  struct Fill {
+    std::uint32_t index = 0;  // its next task to look at
+    std::uint32_t taken = 0;
+    FillLimit limit = FillLimit::none;  // what keeps it from more
+  };
+  // How jobs whose groups have what they are entitled to are filled: not at all, or with what is left.
+  enum class BeyondShare { no, leftover, one };
+  void fill(Job& job, std::uint32_t most, BeyondShare beyond, Fill& progress);
   // Where all tasks of a gang fit at once, in one zone or (for an empty name) anywhere: bins, one for each
   // task.
   struct Seats {
@@ -88,7 +99,10 @@
   // What may be stopped so that the whole gang fits, in the cheapest zone; nothing if it still would not.
   void makeRoomForGang(const Job& job);
   // Places what fits; asks for room, and for machines, for the rest.
-  void placeJob(Job& job, Tier tier);
+  void placeJob(const Turn& turn);
+  // Tasks that the job may be given in this round.
+  static std::uint32_t mostOf(const Turn& turn);
+  std::uint32_t withinTeamLimit(const Job& job, std::uint32_t tasks) const;
   // A few tasks of a job that is held to be at fault, where there is room: nothing is stopped or rented for
   // it.
   void tryAgain(Job& job);
@@ -98,10 +112,41 @@
   // What may be stopped for this job: lower rank; or, to give a team its guarantee, what another team runs
   // beyond its own. Cheapest loss first: the least important, then the latest started.
   bool mayStop(const Job& job, bool guaranteed, const machines::Attempt& attempt) const;
-  // Stops enough for so many tasks, as far as it may.
-  void makeRoom(const Job& job, std::uint32_t tasks);
+  // Stops enough for so many tasks, as far as it may; for how many there is room now, or soon.
+  std::uint32_t makeRoom(const Job& job, std::uint32_t tasks);
+  // Tasks for which room is being made already.
+  std::uint32_t comingFor(const Job& job) const;
+  static bool isStoppable(const machines::Attempt& attempt);
   // Stops the cheapest set that makes room for one task.
   bool stopFor(const Job& job, bool guaranteed);
+  // --- reclaim.cpp: groups get what they are entitled to
+  void openLedger();
+  // Whether shares let another task of the job, or its whole gang, start now.
+  bool withinShare(const Job& job) const { return !ledger_ || ledger_->mayTake(job); }
+  // Jobs whose groups have what they are entitled to get the room that no entitled job waits for.
+  void placeHeld();
+  void placeHeldJob(const Turn& turn, Fill progress);
+  bool isAwaited(const Bin& bin) const;
+  // Asks groups above their entitlement for the room of so many tasks, as far as the job's group lies below
+  // its own. For some of them, there is room already, or soon.
+  void reclaim(const Job& job, std::uint32_t tasks, std::uint32_t covered);
+  // Room that is coming is counted on once: nothing is stopped twice for one claim.
+  std::uint32_t countComing(const Job& job, std::uint32_t tasks);
+  // What one machine gives up for one task.
+  struct Yield {
+    double cost = 0;
+    std::size_t bin = 0;
+    std::vector<const machines::Attempt*> victims;
+    bool operator<(const Yield& other) const { return cost > other.cost; }  // heaps give the cheapest
+  };
+  std::optional<Yield> yieldOf(const Job& job, std::size_t at) const;
+  void takeYield(const Job& job, const Yield& yield);
+  // For a gang: gives all of them, or none if that took a group below its entitlement.
+  bool giveAll(const std::vector<const machines::Attempt*>& victims);
+  void stopForShare(Bin& bin, const machines::Attempt& victim);
+  bool mayReclaim(const Job& job, const machines::Attempt& attempt) const;
+  // Lower rank or a guarantee allow it, whatever the shares are.
+  bool outranks(const Job& job, bool guaranteed, const machines::Attempt& attempt) const;
   // Seconds of work that stopping it loses.
   double loss(const machines::Attempt& attempt) const;
   const World& world_;
@@ -117,6 +162,9 @@
   bool anyOverGuarantee_ = false;
   std::size_t jobs_ = 0;
   std::size_t held_ = 0;  // gangs for which room is held
+  std::optional<shares::Ledger> ledger_;
+  std::vector<std::pair<Turn, Fill>> heldByShare_;
+  std::vector<const Job*> entitled_;  // below their entitlement, and without room
 };
 
 }  // namespace reachhoist::placement
--- a/src/service/context.hpp
+++ b/src/service/context.hpp
@@ -10,6 +10,7 @@
 
 #include "config/settings.hpp"
 #include "peer/codec.hpp"
+#include "shares/table.hpp"
 #include "state/client.hpp"
 #include "wire/exchange.hpp"
 
@@ -60,6 +61,7 @@
   Time siblingHeardAt{};      // the latest word of any sibling
   Time siblingConfirmedAt{};  // the latest word of one that has the state service
   std::optional<std::vector<wire::MachineType>> catalog;
+  std::optional<shares::Table> shares;  // in force; none: nothing is divided
   std::vector<Reply> replies;
   std::vector<PeerSend> peerOut;
   Level level;
--- a/src/service/controller.cpp
+++ b/src/service/controller.cpp
@@ -50,7 +50,9 @@
                                     {{"found", layout}, {"readable", constants::kLayout}});
                    }}),
       users_(context_, jobFeed_, jobs_, leadership_,
-             [this](auto change, const std::string& ref) { applied(change, ref); }) {}
+             [this](auto change, const std::string& ref) { applied(change, ref); }) {
+  if (settings.operators.shares.on) shares_ = std::make_unique<SharesFollower>(context_);
+}
 
 void Controller::at(Time now, std::int64_t wallMs) {
   context_.now = now;
@@ -73,6 +75,7 @@
   context_.event(Level::info, "start", {{"label", settings_.label}});
   jobFeed_.start(now);
   leadership_.start(now);
+  if (shares_) shares_->start();
   fetchCatalog();
 }
 
@@ -95,6 +98,7 @@
   }
   jobFeed_.tick(now);
   users_.tick();
+  if (shares_) shares_->tick(leadership_.leading());
   if (owner_) owner_->tick();
   fetchCatalog();
   if (now >= nextHeartbeat_) sendHeartbeat();
--- a/src/service/controller.hpp
+++ b/src/service/controller.hpp
@@ -8,6 +8,7 @@
 #include "cluster/leadership.hpp"
 #include "service/context.hpp"
 #include "service/owner.hpp"
+#include "service/shares.hpp"
 #include "service/users.hpp"
 
 namespace reachhoist::service {
@@ -65,6 +66,7 @@
   state::Feed jobFeed_;
   cluster::Leadership leadership_;
   Users users_;
+  std::unique_ptr<SharesFollower> shares_;  // none: the operators' file has no such block
   std::unique_ptr<Owner> owner_;
   std::uint64_t ownerTerm_ = 0;
   std::vector<std::uint64_t> ownerStamps_;
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -32,6 +32,7 @@
       retiring_(context.state, context.settings.label + "-" + std::to_string(term) + "-r"),
       cleaning_(context.state, context.settings.label + "-" + std::to_string(term) + "-d"),
       cuts_(context.settings),
+      sharesReporter_(context),
       cloud_(std::make_unique<cloud::Client>(
           context.calls, context.settings, context.settings.label + "-" + std::to_string(term),
           cloud::Client::Handlers{
@@ -313,6 +314,7 @@
   cleaningRound();
   sizeFleet();
   copyLearned();
+  reportShares();
 }
 
 void Owner::advance() {
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -16,6 +16,7 @@
 #include "machines/pages.hpp"
 #include "placement/planner.hpp"
 #include "service/context.hpp"
+#include "service/shares.hpp"
 #include "service/zone_cuts.hpp"
 #include "state/feed.hpp"
 #include "state/transaction.hpp"
@@ -132,6 +133,10 @@
   void forgetsDue();
   void placementRound();
   placement::Plan planRound();
+  // Shares: whether this round may reclaim, and what it has reclaimed.
+  void divideRound(placement::World& world);
+  void noteReclaimed(const placement::Plan& plan);
+  void reportShares();
   // Takes the assignments for which the round's pages have room.
   std::set<std::string> takeAssignments(const placement::Plan& plan, std::set<std::uint32_t>& pages,
                                         std::set<std::string>& jobs);
@@ -222,6 +227,9 @@
   Time nextBootCheck_{};
   ZoneCuts cuts_;
   std::vector<placement::Unmet> unmet_;
+  SharesReporter sharesReporter_;
+  std::uint64_t plannedGeneration_ = 0;  // of the table of shares in the latest round
+  Time nextReclaim_{};
   std::set<std::string> recordDeletes_;
   std::set<std::string> reserving_;  // gangs of which some places are not in a transaction yet
   bool unfamiliarLogged_ = false;
--- a/src/service/owner_rounds.cpp
+++ b/src/service/owner_rounds.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "service/owner.hpp"
+#include "shares/convergence.hpp"
 
 namespace reachhoist::service {
 
@@ -141,6 +142,7 @@
 }
 
 placement::Plan Owner::planRound() {
+  if (context_.shares) plannedGeneration_ = context_.shares->generation;
   const std::size_t ops = context_.settings.stateTxnOps;
   placement::World world{context_.settings,
                          context_.now,
@@ -159,7 +161,9 @@
     return {};
   }
   world.machines = allMachines();
+  divideRound(world);
   placement::Plan plan = placement::plan(world);
+  noteReclaimed(plan);
   unmet_ = std::move(plan.unmet);
   // What waits is looked at again when something has changed, or when time alone may have changed it.
   nextPlan_ = context_.now + (plan.assignments.empty() && plan.stops.empty() ? constants::kIdleRoundGap
@@ -179,6 +183,32 @@
   return plan;
 }
 
+void Owner::divideRound(placement::World& world) {
+  if (!context_.shares) return;
+  world.shares = &*context_.shares;
+  // A new leader first hears what runs: until then all tasks look freshly started, and those that an earlier
+  // leader has stopped look as if they went on.
+  const auto settle = wire::seconds(context_.settings.reportS * 1.5 + 1);
+  world.mayReclaim = context_.now >= nextReclaim_ && context_.now - actingSince_ >= settle && sure();
+}
+
+void Owner::noteReclaimed(const placement::Plan& plan) {
+  if (plan.reclaimed == 0) return;
+  nextReclaim_ = context_.now + wire::seconds(shares::reclaimPauseS(context_.settings));
+  context_.event(Level::info, "reclaim",
+                 {{"stops", plan.reclaimed}, {"generation", context_.shares->generation}});
+}
+
+void Owner::reportShares() {
+  if (!context_.shares) return;
+  if (context_.shares->generation != plannedGeneration_) planDue_ = true;
+  if (!sharesReporter_.due() || !sure()) return;
+  std::vector<const jobs::Job*> open;
+  for (const std::string& ref : jobs_.open()) open.push_back(jobs_.find(ref));
+  const auto ranksAbove = placement::ranksAboveShares(context_.settings, open);
+  sharesReporter_.tick(allMachines(), open, ranksAbove, partConditions());
+}
+
 std::set<std::string> Owner::takeAssignments(const placement::Plan& plan, std::set<std::uint32_t>& pages,
                                              std::set<std::string>& jobs) {
   std::set<std::string> hosts;
--- /dev/null
+++ b/src/shares/census.cpp
@@ -0,0 +1,117 @@
+#include "shares/census.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace reachhoist::shares {
+
+namespace {
+
+using machines::Attempt;
+using machines::Machine;
+
+// Machines whose room is divided: what runs on others is about to end or to move.
+bool isCounted(const Machine& machine) {
+  return machine.phase == machines::MachinePhase::up && !machine.sick && !machine.spotNoticeAt;
+}
+
+Resources times(const Resources& each, double count) {
+  return Resources{each.vcpus * count, each.accelerators * count, each.memoryGb * count};
+}
+
+// What no machine that is up could ever hold is asked of sizing, and can't be divided.
+bool isServable(const Resources& each, const Resources& capacity) {
+  return (each.vcpus <= 0 || capacity.vcpus > 0) && (each.accelerators <= 0 || capacity.accelerators > 0) &&
+         (each.memoryGb <= 0 || capacity.memoryGb > 0);
+}
+
+// Arrays of one task have nothing to go on with: they wait like any work.
+bool isBegunArray(const jobs::Job& job, std::uint32_t placed) {
+  return job.spec.kind == wire::JobKind::array && job.spec.taskCount > 1 && (placed > 0 || job.completed > 0);
+}
+
+// CPUs that each team's limit leaves.
+class TeamRoom {
+ public:
+  TeamRoom(const config::Settings& settings, const std::vector<Machine*>& machines) {
+    for (const config::Team& team : settings.teams)
+      if (team.cpusMax > 0) free_[team.name] = team.cpusMax;
+    if (free_.empty()) return;
+    for (const Machine* machine : machines) {
+      for (const Attempt& attempt : machine->attempts) {
+        if (!attempt.holdsRoom()) continue;
+        if (const auto found = free_.find(attempt.team); found != free_.end())
+          found->second -= attempt.each.vcpus;
+      }
+    }
+  }
+
+  // How many more tasks of the job the limit lets start; what is granted is not granted again.
+  double take(const jobs::Job& job, double tasks) {
+    const auto found = free_.find(job.spec.team);
+    if (found == free_.end()) return tasks;
+    double fit = std::floor(std::max(0.0, found->second) / std::max(job.spec.each.vcpus, 0.01) + 1e-6);
+    if (job.isGang() && fit < tasks) fit = 0;
+    fit = std::min(fit, tasks);
+    found->second -= fit * job.spec.each.vcpus;
+    return fit;
+  }
+
+ private:
+  std::map<std::string, double, std::less<>> free_;
+};
+
+}  // namespace
+
+bool isLeaving(const Attempt& attempt) {
+  return attempt.stopWanted || attempt.phase == machines::AttemptPhase::saving;
+}
+
+const JobStanding* Census::find(std::string_view ref) const {
+  const auto found = jobs.find(ref);
+  return found == jobs.end() ? nullptr : &found->second;
+}
+
+Census takeCensus(const Table& table, const config::Settings& settings, const std::vector<Machine*>& machines,
+                  const std::vector<const jobs::Job*>& open, const RanksAbove& ranksAbove) {
+  Census census;
+  census.loads.resize(table.groups());
+  for (std::size_t group = 0; group < table.groups(); ++group)
+    census.loads[group].weight = table.weight(group);
+  for (const jobs::Job* job : open) {
+    JobStanding standing;
+    standing.group = table.groupOf(job->spec.team, job->spec.jobClass);
+    standing.fixed = ranksAbove(*job);
+    census.jobs[job->spec.ref.text] = standing;
+  }
+  for (const Machine* machine : machines) {
+    if (!isCounted(*machine)) continue;
+    census.capacity += machine->total;
+    for (const Attempt& attempt : machine->attempts) {
+      if (!attempt.holdsRoom() || isLeaving(attempt)) continue;
+      const auto found = census.jobs.find(attempt.task.job.text);
+      if (found == census.jobs.end()) continue;
+      ++found->second.placed;
+      census.loads[found->second.group].running += attempt.each;
+    }
+  }
+  TeamRoom room(settings, machines);
+  for (const jobs::Job* job : open) {
+    JobStanding& standing = census.jobs.at(job->spec.ref.text);
+    GroupLoad& load = census.loads[standing.group];
+    const bool waits = !job->failures.jobAtFault() && isServable(job->spec.each, census.capacity);
+    const double waiting = waits ? room.take(*job, job->waiting) : 0;
+    const Resources asked = times(job->spec.each, standing.placed + waiting);
+    load.demand += asked;
+    if (standing.fixed) {
+      load.fixed += asked;
+    } else if (isBegunArray(*job, standing.placed) && standing.placed + waiting > 0) {
+      standing.keepsOne = true;
+      load.fixed += job->spec.each;
+    }
+  }
+  return census;
+}
+
+}  // namespace reachhoist::shares
--- /dev/null
+++ b/src/shares/convergence.cpp
@@ -0,0 +1,36 @@
+#include "shares/convergence.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "wire/exchange.hpp"
+
+namespace reachhoist::shares {
+
+double reportIntervalS(const config::Settings& settings) {
+  return settings.reportS * constants::kReportSpread;
+}
+
+double reclaimPauseS(const config::Settings& settings) { return reportIntervalS(settings); }
+
+std::size_t reclaimSteps(const config::Settings& settings, const Move& move) {
+  const double step = std::max(settings.operators.shares.reclaimStep, 1e-6);
+  return static_cast<std::size_t>(std::max(1.0, std::ceil(move.share / step - 1e-9)));
+}
+
+double convergenceBoundS(const config::Settings& settings, const Move& move) {
+  const double steps = static_cast<double>(reclaimSteps(settings, move));
+  const double reclaimS = (steps - 1) * reclaimPauseS(settings);
+  // The last stop may miss its direct command and wait for a report; the end of the task is another report.
+  const double tellS = 2 * reportIntervalS(settings) + wire::toSeconds(constants::kWorkerTimeout);
+  const double placeS = move.placedPerS > 0 ? static_cast<double>(move.tasks) / move.placedPerS
+                                            : wire::toSeconds(constants::kStateTimeout);
+  // The start of the task that follows is told in the same way.
+  return reclaimS + tellS + move.graceS + placeS + tellS + move.fetchS;
+}
+
+double convergenceBoundReports(const config::Settings& settings, const Move& move) {
+  return std::ceil(convergenceBoundS(settings, move) / reportIntervalS(settings));
+}
+
+}  // namespace reachhoist::shares
--- /dev/null
+++ b/src/shares/table.cpp
@@ -0,0 +1,200 @@
+#include "shares/table.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <sstream>
+
+namespace reachhoist::shares {
+
+using config::Problem;
+
+namespace {
+
+std::optional<Problem> checkWeight(const std::string& field, double weight) {
+  if (std::isfinite(weight) && weight >= 0 && weight <= constants::kShareWeightMost) return std::nullopt;
+  std::ostringstream reason;
+  reason << "must be a number from 0 to " << constants::kShareWeightMost;
+  return Problem{field, reason.str()};
+}
+
+bool knownClass(const config::Settings& settings, const std::string& jobClass) {
+  return std::any_of(settings.objectives.begin(), settings.objectives.end(),
+                     [&](const config::Objective& objective) { return objective.jobClass == jobClass; });
+}
+
+std::optional<Problem> checkGroup(const Group& group, const config::Settings& settings) {
+  const std::string field = "group " + group.str();
+  if (!group.team.empty() && settings.team(group.team) == nullptr)
+    return Problem{field, "names a team that the platform doesn't know"};
+  if (!group.jobClass.empty() && !knownClass(settings, group.jobClass))
+    return Problem{field, "names a job class that the platform doesn't know"};
+  return std::nullopt;
+}
+
+std::optional<Problem> decodeShare(const Json& entry, std::size_t index, Share& out) {
+  const std::string field = "groups[" + std::to_string(index) + "]";
+  const auto name = wire::textField(entry, "group");
+  const auto group = name ? parseGroup(*name) : std::nullopt;
+  if (!group) return Problem{field + ".group", "must be like team:NAME, class:NAME or team:NAME/class:NAME"};
+  const Json* weight = wire::field(entry, "weight");
+  if (weight == nullptr || !weight->is_number()) return Problem{field + ".weight", "must be a number"};
+  out = Share{*group, weight->get<double>()};
+  return std::nullopt;
+}
+
+std::optional<Problem> decodeRequests(const Json& value, Table& out) {
+  const Json* requests = wire::field(value, "requests");
+  if (requests == nullptr) return std::nullopt;
+  if (!requests->is_array()) return Problem{"requests", "must be a list"};
+  for (const Json& entry : *requests) {
+    const auto id = wire::textField(entry, "id");
+    const auto generation = wire::countField(entry, "generation");
+    if (!id || !generation) return Problem{"requests", "must hold ids and generations"};
+    out.requests.push_back(AppliedRequest{*id, *generation});
+  }
+  return std::nullopt;
+}
+
+void setShare(Table& table, const Share& share) {
+  const auto found = std::find_if(table.shares.begin(), table.shares.end(),
+                                  [&](const Share& other) { return other.group == share.group; });
+  if (found == table.shares.end()) {
+    table.shares.push_back(share);
+  } else {
+    found->weight = share.weight;
+  }
+}
+
+std::optional<Problem> checkRepeats(const std::vector<Share>& shares) {
+  std::set<Group> seen;
+  for (const Share& share : shares)
+    if (!seen.insert(share.group).second) return Problem{"group " + share.group.str(), "is named twice"};
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::size_t Table::groupOf(const std::string& team, const std::string& jobClass) const {
+  std::size_t best = shares.size();
+  int closest = 0;
+  for (std::size_t i = 0; i < shares.size(); ++i) {
+    const Group& group = shares[i].group;
+    if (!group.holds(team, jobClass) || group.closeness() <= closest) continue;
+    closest = group.closeness();
+    best = i;
+  }
+  return best;
+}
+
+double Table::weight(std::size_t group) const {
+  return group < shares.size() ? shares[group].weight : othersWeight;
+}
+
+std::string Table::groupName(std::size_t group) const {
+  return group < shares.size() ? shares[group].group.str() : std::string(kOthers);
+}
+
+std::optional<Problem> check(const Table& table, const config::Settings& settings) {
+  if (table.generation == 0) return Problem{"generation", "must be at least 1"};
+  if (table.shares.empty()) return Problem{"groups", "must name at least one group"};
+  if (table.shares.size() > constants::kShareGroupsMost)
+    return Problem{"groups", "must be at most " + std::to_string(constants::kShareGroupsMost)};
+  if (auto problem = checkWeight("others", table.othersWeight)) return problem;
+  if (auto problem = checkRepeats(table.shares)) return problem;
+  for (const Share& share : table.shares) {
+    if (auto problem = checkGroup(share.group, settings)) return problem;
+    if (auto problem = checkWeight("group " + share.group.str() + " weight", share.weight)) return problem;
+  }
+  const auto most = static_cast<std::size_t>(settings.stateValueKb * 1024 * constants::kValueFill);
+  if (encode(table).dump().size() > most)
+    return Problem{"groups", "make a record of more than " + std::to_string(most) + " bytes"};
+  return std::nullopt;
+}
+
+Json encode(const Table& table) {
+  Json groups = Json::array();
+  for (const Share& share : table.shares)
+    groups.push_back(Json{{"group", share.group.str()}, {"weight", share.weight}});
+  Json requests = Json::array();
+  for (const AppliedRequest& request : table.requests)
+    requests.push_back(Json{{"id", request.id}, {"generation", request.generation}});
+  return Json{{"generation", table.generation},
+              {"others", table.othersWeight},
+              {"groups", std::move(groups)},
+              {"requests", std::move(requests)}};
+}
+
+std::optional<Problem> decode(const Json& value, Table& out) {
+  if (!value.is_object()) return Problem{"record", "must be a map"};
+  Table table;
+  const auto generation = wire::countField(value, "generation");
+  if (!generation) return Problem{"generation", "must be a whole number"};
+  table.generation = *generation;
+  const Json* others = wire::field(value, "others");
+  if (others == nullptr || !others->is_number()) return Problem{"others", "must be a number"};
+  table.othersWeight = others->get<double>();
+  const Json* groups = wire::field(value, "groups");
+  if (groups == nullptr || !groups->is_array()) return Problem{"groups", "must be a list"};
+  for (const Json& entry : *groups) {
+    Share share;
+    if (auto problem = decodeShare(entry, table.shares.size(), share)) return problem;
+    table.shares.push_back(std::move(share));
+  }
+  if (auto problem = decodeRequests(value, table)) return problem;
+  out = std::move(table);
+  return std::nullopt;
+}
+
+std::optional<Problem> fromOperators(const config::Settings& settings, Table& out) {
+  const config::ShareSettings& block = settings.operators.shares;
+  Table table;
+  table.generation = block.generation;
+  table.othersWeight = block.othersWeight;
+  for (const config::ShareLine& line : block.groups) {
+    const auto group = parseGroup(line.group);
+    if (!group)
+      return Problem{"shares.group " + line.group,
+                     "must be like team:NAME, class:NAME or team:NAME/class:NAME"};
+    table.shares.push_back(Share{*group, line.weight});
+  }
+  if (auto problem = check(table, settings)) {
+    problem->field = "shares." + problem->field;
+    return problem;
+  }
+  out = std::move(table);
+  return std::nullopt;
+}
+
+ChangeOutcome apply(const Change& change, const config::Settings& settings, Table& table) {
+  const auto refuse = [&](ChangeVerdict verdict, Problem problem) {
+    return ChangeOutcome{verdict, table.generation, std::move(problem)};
+  };
+  if (change.requestId.empty() || change.requestId.size() > constants::kShareRequestIdMost)
+    return refuse(
+        ChangeVerdict::invalid,
+        {"request_id", "must be text of 1 to " + std::to_string(constants::kShareRequestIdMost) + " bytes"});
+  for (const AppliedRequest& request : table.requests)
+    if (request.id == change.requestId) return {ChangeVerdict::repeated, request.generation, {}};
+  if (change.expectedGeneration && *change.expectedGeneration != table.generation)
+    return refuse(ChangeVerdict::staleGeneration,
+                  {"generation", "is " + std::to_string(table.generation) + " and not " +
+                                     std::to_string(*change.expectedGeneration)});
+  if (auto problem = checkRepeats(change.set)) return refuse(ChangeVerdict::invalid, *problem);
+  Table next = table;
+  if (change.replace) next.shares.clear();
+  for (const Share& share : change.set) setShare(next, share);
+  for (const Group& group : change.remove) {
+    if (std::erase_if(next.shares, [&](const Share& share) { return share.group == group; }) == 0)
+      return refuse(ChangeVerdict::invalid, {"group " + group.str(), "is not in the table"});
+  }
+  if (change.othersWeight) next.othersWeight = *change.othersWeight;
+  ++next.generation;
+  next.requests.push_back(AppliedRequest{change.requestId, next.generation});
+  if (next.requests.size() > constants::kShareRequestsKept) next.requests.erase(next.requests.begin());
+  if (auto problem = check(next, settings)) return refuse(ChangeVerdict::invalid, *problem);
+  table = std::move(next);
+  return {ChangeVerdict::changed, table.generation, {}};
+}
+
+}  // namespace reachhoist::shares
--- /dev/null
+++ b/tests/property/share_fleet.cpp
@@ -0,0 +1,147 @@
+#include "property/share_fleet.hpp"
+
+#include <algorithm>
+
+namespace share_fleet {
+
+namespace {
+constexpr int kRoundsMost = 400;
+const wire::Resources kMachine{16, 0, 64};
+}  // namespace
+
+ShareFleet::ShareFleet(std::size_t machines, const std::vector<double>& weights, double step) {
+  settings_.reportS = 1.5;
+  settings_.teams.push_back({"t", 0, 0, 0, 0});
+  settings_.operators.shares.on = true;
+  settings_.operators.shares.reclaimStep = step;
+  setWeights(weights);
+  for (std::size_t i = 0; i < machines; ++i) {
+    machines::Machine& machine = machines_.emplace_back();
+    machine.host.text = "vm-" + std::to_string(i);
+    machine.machineType = "small";
+    machine.zone = "a";
+    machine.total = kMachine;
+    machine.phase = machines::MachinePhase::up;
+    machine.echoed = true;
+  }
+}
+
+void ShareFleet::setWeights(const std::vector<double>& weights) {
+  table_.shares.clear();
+  ++table_.generation;
+  for (std::size_t i = 0; i < weights.size(); ++i)
+    table_.shares.push_back(shares::Share{{"", "c" + std::to_string(i)}, weights[i]});
+}
+
+void ShareFleet::submit(const JobShape& shape) {
+  jobs::Job& job = jobs_.emplace_back();
+  job.spec.ref.text = "job-" + std::to_string(jobs_.size());
+  job.spec.jobClass = "c" + std::to_string(shape.group);
+  job.spec.team = "t";
+  job.spec.kind = shape.gang ? wire::JobKind::gang : wire::JobKind::array;
+  job.spec.taskCount = shape.tasks;
+  job.spec.each = shape.each;
+  job.spec.image = "img";
+  job.beginOwning(now_);
+}
+
+std::vector<machines::Machine*> ShareFleet::machines() {
+  std::vector<machines::Machine*> out;
+  for (machines::Machine& machine : machines_) out.push_back(&machine);
+  return out;
+}
+
+std::vector<const jobs::Job*> ShareFleet::open() const {
+  std::vector<const jobs::Job*> out;
+  for (const jobs::Job& job : jobs_) out.push_back(&job);
+  return out;
+}
+
+placement::Plan ShareFleet::round() {
+  now_ += std::chrono::milliseconds(20);
+  for (machines::Machine& machine : machines_) machine.lastHeard = now_;
+  placement::World world{settings_, now_, 0, {}, open(), machines()};
+  world.maxJobs = world.maxTasks = 1000;
+  world.shares = &table_;
+  world.mayReclaim = true;
+  for (jobs::Job& job : jobs_)
+    if (job.waiting > 0) world.jobs.push_back(&job);
+  placement::Plan plan = placement::plan(world);
+  carryOut(plan);
+  return plan;
+}
+
+void ShareFleet::carryOut(const placement::Plan& plan) {
+  for (const placement::Assignment& assignment : plan.assignments) {
+    machines::Attempt attempt;
+    attempt.task = wire::TaskId{assignment.job->spec.ref, assignment.index};
+    attempt.number = ++attempts_;
+    attempt.each = assignment.job->spec.each;
+    attempt.team = assignment.job->spec.team;
+    attempt.gang = assignment.job->isGang();
+    if (attempt.gang) attempt.number = std::hash<std::string>{}(assignment.job->spec.ref.text);
+    attempt.phase = machines::AttemptPhase::running;
+    attempt.runningSince = attempt.placedAt = attempt.since = now_;
+    assignment.machine->attempts.push_back(std::move(attempt));
+    assignment.job->to(assignment.index, jobs::TaskPhase::placed, now_);
+    ++assigned_;
+  }
+  for (const placement::Stop& stop : plan.stops) {
+    machines::Attempt* attempt = stop.machine->find(stop.task, stop.attempt);
+    if (attempt->gang) {
+      stopGang(attempt->task.job.text);
+    } else {
+      attempt->stopWanted = true;
+    }
+  }
+}
+
+void ShareFleet::stopGang(const std::string& ref) {
+  for (machines::Machine& machine : machines_)
+    for (machines::Attempt& attempt : machine.attempts)
+      if (attempt.task.job.text == ref) attempt.stopWanted = true;
+}
+
+void ShareFleet::leave() {
+  for (machines::Machine& machine : machines_) {
+    for (const machines::Attempt& attempt : machine.attempts) {
+      if (!attempt.stopWanted) continue;
+      const auto job = std::find_if(jobs_.begin(), jobs_.end(),
+                                    [&](const jobs::Job& one) { return one.spec.ref == attempt.task.job; });
+      job->to(attempt.task.index, jobs::TaskPhase::waiting, now_);
+    }
+    std::erase_if(machine.attempts, [](const machines::Attempt& attempt) { return attempt.stopWanted; });
+  }
+}
+
+int ShareFleet::settle() {
+  int stops = 0;
+  for (int i = 0; i < kRoundsMost; ++i) {
+    const placement::Plan plan = round();
+    stops += static_cast<int>(plan.stops.size());
+    if (plan.assignments.empty() && plan.stops.empty()) return stops;
+    leave();
+  }
+  return -1;
+}
+
+std::vector<shares::GroupShare> ShareFleet::standing() {
+  const auto jobs = open();
+  const auto census =
+      shares::takeCensus(table_, settings_, machines(), jobs, placement::ranksAboveShares(settings_, jobs));
+  return shares::divide(census.capacity, census.loads);
+}
+
+double ShareFleet::unit(const wire::Resources& each) const {
+  const double count = static_cast<double>(machines_.size());
+  return shares::dominantShare(each, {kMachine.vcpus * count, 0, kMachine.memoryGb * count});
+}
+
+bool ShareFleet::overfull() const {
+  return std::any_of(machines_.begin(), machines_.end(), [](const machines::Machine& machine) {
+    const wire::Resources room = machine.room();
+    return room.vcpus < -1e-6 || room.memoryGb < -1e-6;
+  });
+}
+
+}  // namespace share_fleet
--- a/tests/standin/worker.cpp
+++ b/tests/standin/worker.cpp
@@ -208,6 +208,7 @@
       if (found != tasks_.end() && found->second.stage == "ended") tasks_.erase(found);
     } else if (found != tasks_.end() && found->second.stage != "ended") {
       HeldTask& held = found->second;
+      if (held.stage != "saving" && !world_.checker.isCancelled(task.job.text)) ++world_.stops;
       const wire::JobSpec& spec = world_.jobs.at(task.job.text).spec;
       const double graceS = order.value("windDownS", 0.0);
       if (spec.kind == wire::JobKind::gang && (held.stage == "running" || held.stage == "waiting")) {
@@ -272,6 +273,15 @@
   return cpus;
 }
 
+double Worker::cpusOfClass(const std::string& jobClass) const {
+  double cpus = 0;
+  for (const auto& [key, held] : tasks_) {
+    const wire::JobSpec& spec = world_.jobs.at(key.first.job.text).spec;
+    if (held.stage != "ended" && spec.jobClass == jobClass) cpus += spec.each.vcpus;
+  }
+  return cpus;
+}
+
 bool Worker::has(const wire::TaskId& task) const {
   return std::any_of(tasks_.begin(), tasks_.end(), [&](const auto& entry) {
     return entry.first.first == task && entry.second.stage != "ended";
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -9,6 +9,7 @@
 #include "placement/planner.hpp"
 #include "service/controller.hpp"
 #include "standin/checker.hpp"
+#include "standin/operators.hpp"
 #include "standin/sim.hpp"
 #include "standin/state_service.hpp"
 
@@ -56,6 +57,7 @@
   // What its loads leave, and what those of a team take.
   wire::Resources room() const;
   double cpusOf(const std::string& team) const;
+  double cpusOfClass(const std::string& jobClass) const;
   bool has(const wire::TaskId& task) const;
   bool up() const { return up_; }
   bool alive() const { return alive_; }
@@ -128,6 +130,8 @@
   // Begins with the records that another version of the service left, and machines that run what they place.
   void inherit(const Json& records);
   Worker* workerRunning(const std::string& ref);
+  // CPUs that tasks of the class take on machines that are up.
+  double cpusOfClass(const std::string& jobClass) const;
   // Every nth machine hangs for that long, or dies.
   void lose(std::size_t nth, double hangS);
   // Every nth machine reaches no controller, while commands reach it.
@@ -145,6 +149,7 @@
 
   Sim sim;
   StateService state;
+  std::unique_ptr<Operators> operators;
   Checker checker;
   config::Settings base;
   double cloudDownUntil = 0;
@@ -177,6 +182,9 @@
   std::map<std::string, std::unique_ptr<Worker>> workers;
   std::size_t rented = 0;
   std::size_t elections = 0;
+  std::size_t stops = 0;        // tasks that were told to stop while they ran or fetched, cancellations aside
+  std::size_t shareTables = 0;  // tables of shares that controllers have taken up
+  std::size_t sharesRefused = 0;    // and refused
   std::size_t workerCallsMost = 0;  // that one controller had under way at once
   std::size_t leasesLost = 0;       // by machines that neither hung nor were out of reach
   std::function<void(const std::string&)> log;
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -130,4 +130,50 @@
   EXPECT_NE(parseOperators("sizing { rounds = 3 }", settings)->reason.find("rounds"), std::string::npos);
 }
 
+TEST(Operators, SharesAreOffWithoutTheirBlock) {
+  Settings settings;
+  ASSERT_FALSE(parseOperators("sizing { round_s = 30 }", settings));
+  EXPECT_FALSE(settings.operators.shares.on);
+}
+
+TEST(Operators, SharesAreRead) {
+  Settings settings;
+  const auto problem = parseOperators(R"(
+    shares {
+      generation = 7
+      others = 0.5
+      reclaim_step = 0.2
+      group "class:survey" { weight = 3 }
+      group "team:t" { weight = 0 }
+    })",
+                                      settings);
+  ASSERT_FALSE(problem) << problem->field << " " << problem->reason;
+  const auto& shares = settings.operators.shares;
+  EXPECT_TRUE(shares.on);
+  EXPECT_EQ(shares.generation, 7U);
+  EXPECT_EQ(shares.othersWeight, 0.5);
+  EXPECT_EQ(shares.reclaimStep, 0.2);
+  ASSERT_EQ(shares.groups.size(), 2U);
+  EXPECT_EQ(shares.groups[0].group, "class:survey");
+  EXPECT_EQ(shares.groups[0].weight, 3);
+}
+
+TEST(Operators, BadSharesNameTheField) {
+  const auto field = [](const std::string& text) {
+    Settings settings;
+    const auto problem = parseOperators("shares { " + text + " }", settings);
+    return problem ? problem->field : "";
+  };
+  EXPECT_EQ(field("generation = 0"), "shares.generation");
+  EXPECT_EQ(field("generation = 1.5"), "shares.generation");
+  EXPECT_EQ(field("others = nan"), "shares.others");
+  EXPECT_EQ(field("reclaim_step = 0"), "shares.reclaim_step");
+  EXPECT_EQ(field("group \"class:a\" { }"), "shares.group class:a weight");
+  EXPECT_EQ(field("group \"class:a\" { weight = -1 }"), "shares.group class:a weight");
+  EXPECT_EQ(field("group \"class:a\" { weight = 1e99 }"), "shares.group class:a weight");
+  EXPECT_EQ(field("group \"class:a\" { weight = 1 } group \"class:a\" { weight = 2 }"), "operators' file");
+  EXPECT_EQ(field("group \"class:a\" { wait = 1 }"), "operators' file");
+  EXPECT_EQ(field("steps = 1"), "operators' file");
+}
+
 }  // namespace
