--- /dev/null
+++ b/src/admin/rpc/commands.cpp
@@ -0,0 +1,136 @@
+#include "admin/rpc/commands.hpp"
+
+#include <grpcpp/grpcpp.h>
+
+#include <cstdlib>
+#include <iomanip>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+#include "admin/rpc/shares.grpc.pb.h"
+
+namespace reachhoist::admin {
+
+namespace {
+
+std::unique_ptr<v1::Shares::Stub> connect(const CommandOptions& options) {
+  return v1::Shares::NewStub(grpc::CreateChannel(options.address, grpc::InsecureChannelCredentials()));
+}
+
+void prepare(grpc::ClientContext& context, const CommandOptions& options) {
+  context.set_wait_for_ready(true);
+  context.set_deadline(std::chrono::system_clock::now() +
+                       std::chrono::milliseconds(static_cast<long>(options.deadlineS * 1000)));
+}
+
+const char* codeName(grpc::StatusCode code) {
+  switch (code) {
+    case grpc::StatusCode::ABORTED:
+      return "aborted";
+    case grpc::StatusCode::INVALID_ARGUMENT:
+      return "invalid";
+    case grpc::StatusCode::FAILED_PRECONDITION:
+      return "failed_precondition";
+    case grpc::StatusCode::DATA_LOSS:
+      return "data_loss";
+    case grpc::StatusCode::UNAVAILABLE:
+      return "unavailable";
+    case grpc::StatusCode::DEADLINE_EXCEEDED:
+      return "deadline_exceeded";
+    default:
+      return "error";
+  }
+}
+
+int complain(const grpc::Status& status) {
+  std::cerr << "reachhoist-admin: " << codeName(status.error_code()) << ": " << status.error_message()
+            << "\n";
+  return 1;
+}
+
+std::string newRequestId() {
+  std::random_device random;
+  std::ostringstream out;
+  for (int i = 0; i < 4; ++i) out << std::hex << std::setw(8) << std::setfill('0') << random();
+  return out.str();
+}
+
+// GROUP=WEIGHT; groups hold no equals sign.
+bool parseShare(const std::string& text, v1::Share& out) {
+  const auto equals = text.rfind('=');
+  if (equals == std::string::npos || equals + 1 == text.size()) return false;
+  char* end = nullptr;
+  out.set_group(text.substr(0, equals));
+  out.set_weight(std::strtod(text.c_str() + equals + 1, &end));
+  return *end == '\0';
+}
+
+void print(const v1::StatusReply& reply) {
+  std::cout << "generation=" << reply.generation() << " reported=" << reply.reported_generation() << "\n";
+  std::cout << std::fixed << std::setprecision(4);
+  for (const v1::GroupStatus& group : reply.groups())
+    std::cout << group.group() << " entitled=" << group.entitled() << " running=" << group.running()
+              << " demand=" << group.demand() << " converged=" << (group.converged() ? "yes" : "no") << "\n";
+  std::cout << std::flush;
+}
+
+}  // namespace
+
+int getShares(const CommandOptions& options) {
+  grpc::ClientContext context;
+  prepare(context, options);
+  v1::Table table;
+  if (const auto status = connect(options)->Get(&context, {}, &table); !status.ok()) return complain(status);
+  std::cout << "generation=" << table.generation() << "\n";
+  for (const v1::Share& share : table.shares()) std::cout << share.group() << "=" << share.weight() << "\n";
+  std::cout << "others=" << table.others() << "\n";
+  return 0;
+}
+
+int setShares(const CommandOptions& options, const SetOptions& change) {
+  v1::SetRequest request;
+  request.set_request_id(change.requestId.empty() ? newRequestId() : change.requestId);
+  if (change.expectedGeneration) request.set_expected_generation(*change.expectedGeneration);
+  if (change.others) request.set_others(*change.others);
+  request.set_replace(change.replace);
+  for (const std::string& text : change.shares) {
+    if (parseShare(text, *request.add_set())) continue;
+    std::cerr << "reachhoist-admin: invalid: " << text << " must be GROUP=WEIGHT\n";
+    return 1;
+  }
+  for (const std::string& group : change.remove) request.add_remove(group);
+  grpc::ClientContext context;
+  prepare(context, options);
+  v1::SetReply reply;
+  const auto status = connect(options)->Set(&context, request, &reply);
+  if (!status.ok()) {
+    // Whoever repeats it with the same id makes one change, whatever became of this one.
+    std::cerr << "request_id=" << request.request_id() << "\n";
+    return complain(status);
+  }
+  std::cout << "generation=" << reply.generation() << (reply.repeated() ? " repeated" : "")
+            << " request_id=" << request.request_id() << "\n";
+  return 0;
+}
+
+int showStatus(const CommandOptions& options) {
+  grpc::ClientContext context;
+  prepare(context, options);
+  v1::StatusReply reply;
+  if (const auto status = connect(options)->Status(&context, {}, &reply); !status.ok())
+    return complain(status);
+  print(reply);
+  return 0;
+}
+
+int watchStatus(const CommandOptions& options) {
+  grpc::ClientContext context;
+  const auto stub = connect(options);
+  const auto reader = stub->Watch(&context, {});
+  for (v1::StatusReply reply; reader->Read(&reply);) print(reply);
+  const auto status = reader->Finish();
+  return status.ok() ? 0 : complain(status);
+}
+
+}  // namespace reachhoist::admin
--- /dev/null
+++ b/src/admin/rpc/daemon.cpp
@@ -0,0 +1,45 @@
+#include "admin/rpc/daemon.hpp"
+
+#include <grpcpp/grpcpp.h>
+
+#include <csignal>
+#include <iostream>
+
+#include "admin/rpc/service.hpp"
+
+namespace reachhoist::admin {
+
+bool isLocal(const std::string& address) {
+  return address.starts_with("unix:") || address.starts_with("127.") || address.starts_with("localhost:") ||
+         address.starts_with("[::1]:");
+}
+
+int serve(const config::Settings& settings, const std::string& address) {
+  // Blocked before any thread starts, so that only the wait below takes them.
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  StateLoop loop(settings);
+  loop.start();
+  SharesService service(loop);
+  grpc::ServerBuilder builder;
+  builder.AddListeningPort(address, grpc::InsecureServerCredentials());
+  builder.RegisterService(&service);
+  const auto server = builder.BuildAndStart();
+  if (!server) {
+    std::cerr << "reachhoist-admin: --listen can't be bound: " << address << "\n";
+    return 1;
+  }
+  std::cerr << "event=admin_start listen=" << address << "\n";
+  int signal = 0;
+  sigwait(&signals, &signal);
+  server->Shutdown(std::chrono::system_clock::now() + std::chrono::seconds(1));
+  std::cerr << "event=admin_stop\n";
+  // The thread of the state service never ends by itself, and holds nothing that must be saved.
+  std::_Exit(0);
+}
+
+}  // namespace reachhoist::admin
--- /dev/null
+++ b/src/admin/rpc/service.cpp
@@ -0,0 +1,145 @@
+#include "admin/rpc/service.hpp"
+
+#include <algorithm>
+
+namespace reachhoist::admin {
+
+namespace {
+
+using grpc::StatusCode;
+using std::chrono::system_clock;
+
+constexpr std::chrono::seconds kDeadlineMost{
+    30};                                       // a caller that names none, or a later one, waits this long
+constexpr std::chrono::seconds kWatchStep{1};  // between two looks whether the caller is still there
+
+StateLoop::Deadline deadlineOf(const grpc::ServerContext& context) {
+  return std::min<StateLoop::Deadline>(context.deadline(), system_clock::now() + kDeadlineMost);
+}
+
+grpc::Status failure(StatusCode code, const config::Problem& problem) {
+  return {code, problem.field + " " + problem.reason};
+}
+
+grpc::Status unavailable() { return {StatusCode::UNAVAILABLE, "the state service gave no answer in time"}; }
+
+grpc::Status statusOf(const EditResult& result) {
+  switch (result.verdict) {
+    case EditVerdict::changed:
+    case EditVerdict::repeated:
+      return grpc::Status::OK;
+    case EditVerdict::stale:
+      return failure(StatusCode::ABORTED, result.problem);
+    case EditVerdict::invalid:
+      return failure(StatusCode::INVALID_ARGUMENT, result.problem);
+    case EditVerdict::absent:
+      return failure(StatusCode::FAILED_PRECONDITION, result.problem);
+    case EditVerdict::damaged:
+      return failure(StatusCode::DATA_LOSS, result.problem);
+    case EditVerdict::unavailable:
+      return failure(StatusCode::UNAVAILABLE, result.problem);
+  }
+  return {StatusCode::INTERNAL, "unknown verdict"};
+}
+
+std::optional<config::Problem> changeOf(const v1::SetRequest& request, shares::Change& out) {
+  const auto group = [](const std::string& text) { return shares::parseGroup(text); };
+  const auto badGroup = [](const std::string& text) {
+    return config::Problem{"group " + text, "must be like team:NAME, class:NAME or team:NAME/class:NAME"};
+  };
+  out.requestId = request.request_id();
+  if (request.has_expected_generation()) out.expectedGeneration = request.expected_generation();
+  if (request.has_others()) out.othersWeight = request.others();
+  out.replace = request.replace();
+  for (const v1::Share& share : request.set()) {
+    const auto parsed = group(share.group());
+    if (!parsed) return badGroup(share.group());
+    out.set.push_back(shares::Share{*parsed, share.weight()});
+  }
+  for (const std::string& text : request.remove()) {
+    const auto parsed = group(text);
+    if (!parsed) return badGroup(text);
+    out.remove.push_back(*parsed);
+  }
+  return std::nullopt;
+}
+
+void fillGroups(const wire::Json& record, v1::StatusReply& out) {
+  out.set_reported_generation(wire::countField(record, "generation").value_or(0));
+  const wire::Json* groups = wire::field(record, "groups");
+  if (groups == nullptr || !groups->is_array()) return;
+  for (const wire::Json& entry : *groups) {
+    v1::GroupStatus* group = out.add_groups();
+    group->set_group(wire::textField(entry, "group").value_or(""));
+    group->set_entitled(wire::amountField(entry, "entitled").value_or(0));
+    group->set_running(wire::amountField(entry, "running").value_or(0));
+    group->set_demand(wire::amountField(entry, "demand").value_or(0));
+    group->set_converged(wire::flagField(entry, "converged").value_or(false));
+  }
+}
+
+}  // namespace
+
+grpc::Status SharesService::readTable(StateLoop::Deadline deadline, shares::Table& out) {
+  const auto result = loop_.get(shares::kTableKey, deadline);
+  if (result && result->status == 404)
+    return {StatusCode::FAILED_PRECONDITION, "table is not stored: shares are off"};
+  const wire::Json* value = result ? wire::field(result->body, "value") : nullptr;
+  if (!result || !result->ok() || value == nullptr) return unavailable();
+  if (const auto problem = shares::decode(*value, out)) return failure(StatusCode::DATA_LOSS, *problem);
+  return grpc::Status::OK;
+}
+
+grpc::Status SharesService::readStatus(StateLoop::Deadline deadline, v1::StatusReply& out) {
+  shares::Table table;
+  if (auto status = readTable(deadline, table); !status.ok()) return status;
+  out.set_generation(table.generation);
+  const auto result = loop_.get(shares::kStatusKey, deadline);
+  if (!result || (!result->ok() && result->status != 404)) return unavailable();
+  if (const wire::Json* value = wire::field(result->body, "value"); value != nullptr) fillGroups(*value, out);
+  return grpc::Status::OK;
+}
+
+grpc::Status SharesService::Get(grpc::ServerContext* context, const v1::GetRequest*, v1::Table* reply) {
+  shares::Table table;
+  if (auto status = readTable(deadlineOf(*context), table); !status.ok()) return status;
+  reply->set_generation(table.generation);
+  reply->set_others(table.othersWeight);
+  for (const shares::Share& share : table.shares) {
+    v1::Share* out = reply->add_shares();
+    out->set_group(share.group.str());
+    out->set_weight(share.weight);
+  }
+  return grpc::Status::OK;
+}
+
+grpc::Status SharesService::Set(grpc::ServerContext* context, const v1::SetRequest* request,
+                                v1::SetReply* reply) {
+  shares::Change change;
+  if (const auto problem = changeOf(*request, change)) return failure(StatusCode::INVALID_ARGUMENT, *problem);
+  const EditResult result = loop_.edit(std::move(change), deadlineOf(*context));
+  reply->set_generation(result.generation);
+  reply->set_repeated(result.verdict == EditVerdict::repeated);
+  return statusOf(result);
+}
+
+grpc::Status SharesService::Status(grpc::ServerContext* context, const v1::StatusRequest*,
+                                   v1::StatusReply* reply) {
+  return readStatus(deadlineOf(*context), *reply);
+}
+
+grpc::Status SharesService::Watch(grpc::ServerContext* context, const v1::StatusRequest*,
+                                  grpc::ServerWriter<v1::StatusReply>* writer) {
+  std::uint64_t seen = 0;
+  for (bool first = true; !context->IsCancelled() && system_clock::now() < context->deadline();) {
+    if (!loop_.awaitStatus(seen, system_clock::now() + kWatchStep) && !first) continue;
+    first = false;
+    v1::StatusReply reply;
+    const auto status = readStatus(system_clock::now() + kDeadlineMost, reply);
+    if (!status.ok()) return status;
+    if (!writer->Write(reply)) break;
+  }
+  return grpc::Status::OK;
+}
+
+}  // namespace reachhoist::admin
--- /dev/null
+++ b/src/admin/rpc/service.hpp
@@ -0,0 +1,27 @@
+// The RPC service that operators' tools call.
+#pragma once
+
+#include "admin/rpc/shares.grpc.pb.h"
+#include "admin/rpc/state_loop.hpp"
+
+namespace reachhoist::admin {
+
+class SharesService final : public v1::Shares::Service {
+ public:
+  explicit SharesService(StateLoop& loop) : loop_(loop) {}
+
+  grpc::Status Get(grpc::ServerContext* context, const v1::GetRequest* request, v1::Table* reply) override;
+  grpc::Status Set(grpc::ServerContext* context, const v1::SetRequest* request, v1::SetReply* reply) override;
+  grpc::Status Status(grpc::ServerContext* context, const v1::StatusRequest* request,
+                      v1::StatusReply* reply) override;
+  grpc::Status Watch(grpc::ServerContext* context, const v1::StatusRequest* request,
+                     grpc::ServerWriter<v1::StatusReply>* writer) override;
+
+ private:
+  grpc::Status readTable(StateLoop::Deadline deadline, shares::Table& out);
+  grpc::Status readStatus(StateLoop::Deadline deadline, v1::StatusReply& out);
+
+  StateLoop& loop_;
+};
+
+}  // namespace reachhoist::admin
--- /dev/null
+++ b/src/admin/rpc/state_loop.cpp
@@ -0,0 +1,106 @@
+#include "admin/rpc/state_loop.hpp"
+
+#include <algorithm>
+#include <future>
+#include <thread>
+#include <utility>
+
+#include "calls/runner.hpp"
+
+namespace reachhoist::admin {
+
+namespace {
+constexpr std::size_t kSockets = 8;
+constexpr std::chrono::milliseconds kTurn{10};
+}  // namespace
+
+StateLoop::StateLoop(const config::Settings& settings)
+    : settings_(settings),
+      http_(reactor_, kSockets),
+      client_(calls_, settings, constants::kAdminShare),
+      status_(client_, shares::kStatusKey, [this](const wire::Json*, std::uint64_t) {
+        const std::lock_guard lock(mutex_);
+        ++statusChanges_;
+        changed_.notify_all();
+      }) {}
+
+void StateLoop::start() {
+  std::thread([this] { run(); }).detach();
+}
+
+void StateLoop::run() {
+  status_.start(reactor_.now());
+  net::spawn(turn());
+  reactor_.run();
+}
+
+void StateLoop::post(std::function<void()> action) {
+  const std::lock_guard lock(mutex_);
+  posted_.push_back(std::move(action));
+}
+
+net::Task<void> StateLoop::turn() {
+  for (;;) {
+    std::vector<std::function<void()>> actions;
+    {
+      const std::lock_guard lock(mutex_);
+      actions = std::exchange(posted_, {});
+    }
+    for (const auto& action : actions) action();
+    const auto now = reactor_.now();
+    client_.pump(now);
+    status_.tick(now);
+    for (const auto& edit : edits_) edit->tick(now);
+    std::erase_if(edits_, [](const auto& edit) { return edit->finished(); });
+    sendCalls();
+    co_await reactor_.sleepUntil(now + kTurn);
+  }
+}
+
+void StateLoop::sendCalls() {
+  for (wire::Call& call : calls_.drain()) net::spawn(carryOut(std::move(call)));
+}
+
+net::Task<void> StateLoop::carryOut(wire::Call call) {
+  const std::uint64_t number = call.number;
+  const wire::CallResult result = co_await calls::carryOut(http_, std::move(call));
+  calls_.complete(number, result);
+  sendCalls();
+}
+
+std::optional<wire::CallResult> StateLoop::get(const std::string& key, Deadline deadline) {
+  const auto promise = std::make_shared<std::promise<wire::CallResult>>();
+  auto future = promise->get_future();
+  post([this, key, promise] {
+    client_.get(reactor_.now(), state::Urgency::rest, key,
+                [promise](const wire::CallResult& result) { promise->set_value(result); });
+  });
+  if (future.wait_until(deadline) != std::future_status::ready) return std::nullopt;
+  return future.get();
+}
+
+EditResult StateLoop::edit(shares::Change change, Deadline deadline) {
+  const auto promise = std::make_shared<std::promise<EditResult>>();
+  auto future = promise->get_future();
+  post([this, change = std::move(change), promise, deadline] {
+    const auto left = deadline - std::chrono::system_clock::now();
+    const auto until = reactor_.now() + std::chrono::duration_cast<wire::Duration>(left);
+    auto edit =
+        std::make_shared<ShareEdit>(client_, settings_, change, until,
+                                    [promise](const EditResult& result) { promise->set_value(result); });
+    edits_.push_back(edit);
+    edit->start(reactor_.now());
+  });
+  if (future.wait_until(deadline) != std::future_status::ready)
+    return {EditVerdict::unavailable, 0, {"state service", "gave no definite answer in time"}};
+  return future.get();
+}
+
+bool StateLoop::awaitStatus(std::uint64_t& seen, Deadline deadline) {
+  std::unique_lock lock(mutex_);
+  if (!changed_.wait_until(lock, deadline, [&] { return statusChanges_ != seen; })) return false;
+  seen = statusChanges_;
+  return true;
+}
+
+}  // namespace reachhoist::admin
--- /dev/null
+++ b/src/calls/runner.cpp
@@ -0,0 +1,24 @@
+#include "calls/runner.hpp"
+
+namespace reachhoist::calls {
+
+net::Task<wire::CallResult> carryOut(net::HttpClient& client, wire::Call call) {
+  std::string body = call.body.is_null() ? std::string() : wire::encodeBody(call.body);
+  const net::ClientResult answer =
+      co_await client.call(call.endpoint, call.method, call.path, std::move(body), call.timeout);
+  wire::CallResult result;
+  result.sent = answer.sent;
+  result.tooLarge = answer.tooLarge;
+  if (answer.status == 0) co_return result;
+  result.status = answer.status;
+  if (answer.body.empty()) co_return result;
+  auto decoded = wire::decodeBody(answer.body);
+  if (decoded) {
+    result.body = std::move(*decoded);
+  } else if (answer.status == 200) {
+    result.status = 0;  // a yes that can't be read is no answer
+  }
+  co_return result;
+}
+
+}  // namespace reachhoist::calls
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -84,6 +84,7 @@
 // --- State service budget -------------------------------------------------------------------------------
 inline constexpr double kLeaderShare = 0.60;    // share of the state budgets that the leader may use
 inline constexpr double kFollowerShare = 0.18;  // most of each other controller; many share what is left
+inline constexpr double kAdminShare = 0.02;     // the admin daemon's; beside the margin that controllers keep
 inline constexpr double kPollShare = 0.12;      // share of the request rate spent on confirming polls, each
 inline constexpr double kPollsShare = 0.40;     // the same for all controllers together
 inline constexpr milliseconds kFreshFor =
--- a/src/net/reactor.cpp
+++ b/src/net/reactor.cpp
@@ -167,36 +167,39 @@
 void Reactor::post(std::function<void()> action) { posted_.push_back(std::move(action)); }
 
 void Reactor::run() {
+  for (;;) turn(std::chrono::milliseconds::max());
+}
+
+void Reactor::turn(std::chrono::milliseconds most) {
   std::array<epoll_event, kEventsPerTurn> events{};
-  for (;;) {
-    for (auto& action : std::exchange(posted_, {})) action();
-    Time now = this->now();
-    while (!timers_.empty() && timers_.begin()->first.first <= now) {
-      auto first = timers_.extract(timers_.begin());
-      timerTimes_.erase(first.key().second);
-      first.mapped()();
-    }
-    int waitMs = -1;
-    if (!posted_.empty()) {
-      waitMs = 0;
-    } else if (!timers_.empty()) {
-      now = this->now();
-      const auto left = std::chrono::ceil<std::chrono::milliseconds>(timers_.begin()->first.first - now);
-      waitMs = left.count() > 0 ? static_cast<int>(left.count()) : 0;
+  for (auto& action : std::exchange(posted_, {})) action();
+  Time now = this->now();
+  while (!timers_.empty() && timers_.begin()->first.first <= now) {
+    auto first = timers_.extract(timers_.begin());
+    timerTimes_.erase(first.key().second);
+    first.mapped()();
+  }
+  int waitMs = most == std::chrono::milliseconds::max() ? -1 : static_cast<int>(most.count());
+  if (!posted_.empty()) {
+    waitMs = 0;
+  } else if (!timers_.empty()) {
+    now = this->now();
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(timers_.begin()->first.first - now);
+    const int leftMs = left.count() > 0 ? static_cast<int>(left.count()) : 0;
+    waitMs = waitMs < 0 ? leftMs : std::min(waitMs, leftMs);
+  }
+  const int count = ::epoll_wait(epoll_.get(), events.data(), kEventsPerTurn, waitMs);
+  for (int i = 0; i < count; ++i) {
+    const epoll_event& event = events[static_cast<std::size_t>(i)];
+    const bool broken = (event.events & (EPOLLERR | EPOLLHUP)) != 0;
+    // Looked up twice: the reader that is woken first may have destroyed the socket.
+    if (broken || (event.events & (EPOLLIN | EPOLLRDHUP)) != 0) {
+      if (const auto found = sockets_.find(event.data.u64); found != sockets_.end())
+        found->second->wake(found->second->read_);
     }
-    const int count = ::epoll_wait(epoll_.get(), events.data(), kEventsPerTurn, waitMs);
-    for (int i = 0; i < count; ++i) {
-      const epoll_event& event = events[static_cast<std::size_t>(i)];
-      const bool broken = (event.events & (EPOLLERR | EPOLLHUP)) != 0;
-      // Looked up twice: the reader that is woken first may have destroyed the socket.
-      if (broken || (event.events & (EPOLLIN | EPOLLRDHUP)) != 0) {
-        if (const auto found = sockets_.find(event.data.u64); found != sockets_.end())
-          found->second->wake(found->second->read_);
-      }
-      if (broken || (event.events & EPOLLOUT) != 0) {
-        if (const auto found = sockets_.find(event.data.u64); found != sockets_.end())
-          found->second->wake(found->second->write_);
-      }
+    if (broken || (event.events & EPOLLOUT) != 0) {
+      if (const auto found = sockets_.find(event.data.u64); found != sockets_.end())
+        found->second->wake(found->second->write_);
     }
   }
 }
--- a/src/net/reactor.hpp
+++ b/src/net/reactor.hpp
@@ -87,6 +87,8 @@
   // Actions to run in the next turn of the loop.
   void post(std::function<void()> action);
   [[noreturn]] void run();
+  // One turn of the loop: what is due, then what comes within so long. For loops that others own.
+  void turn(std::chrono::milliseconds most);
 
   // Awaitable pause.
   auto sleepUntil(Time when) {
--- a/src/service/runtime.cpp
+++ b/src/service/runtime.cpp
@@ -2,6 +2,8 @@
 
 #include <random>
 
+#include "calls/runner.hpp"
+
 namespace reachhoist::service {
 
 Runtime::Runtime(const config::Settings& settings, Level level, Context::LogSink sink)
@@ -69,24 +71,9 @@
 }
 
 net::Task<void> Runtime::carryOut(wire::Call call) {
-  std::string body = call.body.is_null() ? std::string() : wire::encodeBody(call.body);
-  const net::ClientResult answer =
-      co_await client_.call(call.endpoint, call.method, call.path, std::move(body), call.timeout);
-  wire::CallResult result;
-  result.sent = answer.sent;
-  result.tooLarge = answer.tooLarge;
-  if (answer.status != 0) {
-    result.status = answer.status;
-    if (!answer.body.empty()) {
-      auto decoded = wire::decodeBody(answer.body);
-      if (decoded) {
-        result.body = std::move(*decoded);
-      } else if (answer.status == 200) {
-        result.status = 0;  // a yes that can't be read is no answer
-      }
-    }
-  }
-  controller_.onResult(reactor_.now(), wallMs(), call.number, result);
+  const std::uint64_t number = call.number;
+  const wire::CallResult result = co_await calls::carryOut(client_, std::move(call));
+  controller_.onResult(reactor_.now(), wallMs(), number, result);
   act();
 }
 
--- a/src/service/shares.cpp
+++ b/src/service/shares.cpp
@@ -70,13 +70,15 @@
   const auto rounded = [](double share) { return std::round(share * kDigits) / kDigits; };
   const shares::Table& table = *context_.shares;
   const auto groupShares = shares::divide(census.capacity, census.loads);
+  const auto converged = shares::converged(census, groupShares);
   Json groups = Json::array();
   for (std::size_t group = 0; group < groupShares.size(); ++group) {
     const shares::GroupShare& share = groupShares[group];
     groups.push_back(Json{{"group", table.groupName(group)},
                           {"entitled", rounded(share.entitled)},
                           {"running", rounded(share.running)},
-                          {"demand", std::isfinite(share.demand) ? rounded(share.demand) : 1e9}});
+                          {"demand", rounded(share.demand)},
+                          {"converged", static_cast<bool>(converged[group])}});
   }
   return Json{{"generation", table.generation}, {"groups", std::move(groups)}};
 }
--- a/src/shares/census.cpp
+++ b/src/shares/census.cpp
@@ -77,6 +77,7 @@
                   const std::vector<const jobs::Job*>& open, const RanksAbove& ranksAbove) {
   Census census;
   census.loads.resize(table.groups());
+  census.units.resize(table.groups());
   for (std::size_t group = 0; group < table.groups(); ++group)
     census.loads[group].weight = table.weight(group);
   for (const jobs::Job* job : open) {
@@ -104,6 +105,11 @@
     const double waiting = waits ? room.take(*job, job->waiting) : 0;
     const Resources asked = times(job->spec.each, standing.placed + waiting);
     load.demand += asked;
+    if (standing.placed + waiting > 0) {
+      const Resources unit = times(job->spec.each, job->isGang() ? job->spec.taskCount : 1);
+      census.units[standing.group] =
+          std::max(census.units[standing.group], dominantShare(unit, census.capacity));
+    }
     if (standing.fixed) {
       load.fixed += asked;
     } else if (isBegunArray(*job, standing.placed) && standing.placed + waiting > 0) {
@@ -114,4 +120,19 @@
   return census;
 }
 
+std::vector<bool> converged(const Census& census, const std::vector<GroupShare>& shares) {
+  constexpr double kEpsilon = 1e-9;  // of a share: rounding of sums
+  std::vector<bool> lacks;
+  for (std::size_t group = 0; group < shares.size(); ++group)
+    lacks.push_back(shares[group].running < shares[group].entitled - census.units[group] - kEpsilon);
+  const bool anyLacks = std::find(lacks.begin(), lacks.end(), true) != lacks.end();
+  std::vector<bool> out;
+  for (std::size_t group = 0; group < shares.size(); ++group) {
+    const GroupShare& share = shares[group];
+    const bool exceeds = share.running > share.entitled + census.units[group] + kEpsilon;
+    out.push_back(!lacks[group] && !(exceeds && anyLacks));
+  }
+  return out;
+}
+
 }  // namespace reachhoist::shares
--- a/src/shares/census.hpp
+++ b/src/shares/census.hpp
@@ -25,12 +25,17 @@
 
 struct Census {
   Resources capacity;
-  std::vector<GroupLoad> loads;                            // by group; the last is that of the others
+  std::vector<double> units;     // by group: the largest part of the capacity that one task or gang takes
+  std::vector<GroupLoad> loads;  // by group; the last is that of the others
   std::unordered_map<std::string_view, JobStanding> jobs;  // the open ones
 
   const JobStanding* find(std::string_view ref) const;
 };
 
+// By group: whether it has what it is entitled to, to within one task or gang, and gives nothing that another
+// group lacks.
+std::vector<bool> converged(const Census& census, const std::vector<GroupShare>& shares);
+
 using RanksAbove = std::function<bool(const jobs::Job&)>;
 
 // `open` and the table must outlive the census.
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -30,17 +30,24 @@
   setLeading(false);
 }
 
-void Client::setLeading(bool leading) {
-  const auto others = static_cast<double>(settings_.siblings.size());
-  const double share =
-      (others == 0 ? 1.0
-       : leading   ? constants::kLeaderShare
-                   : std::min(constants::kFollowerShare, (1 - constants::kLeaderShare) / others)) *
-      constants::kBudgetMargin;
+Client::Client(wire::Calls& calls, const config::Settings& settings, double share)
+    : calls_(calls), settings_(settings), requests_(1, 1), writes_(1, 1) {
+  setShare(share);
+}
+
+void Client::setShare(double share) {
   requests_.set(settings_.stateRps * share, settings_.stateRps * share);
   writes_.set(settings_.stateWriteRps * share, settings_.stateWriteRps * share);
 }
 
+void Client::setLeading(bool leading) {
+  const auto others = static_cast<double>(settings_.siblings.size());
+  setShare((others == 0 ? 1.0
+            : leading   ? constants::kLeaderShare
+                        : std::min(constants::kFollowerShare, (1 - constants::kLeaderShare) / others)) *
+           constants::kBudgetMargin);
+}
+
 void Client::multi(Time now, Urgency urgency, const Transaction& transaction, Done done) {
   submit(now, urgency,
          Queued{{},
--- a/src/state/client.hpp
+++ b/src/state/client.hpp
@@ -36,6 +36,8 @@
   using Done = wire::Calls::Done;
 
   Client(wire::Calls& calls, const config::Settings& settings);
+  // With a fixed share of the budgets, for programs that are no controllers.
+  Client(wire::Calls& calls, const config::Settings& settings, double share);
 
   void multi(Time now, Urgency urgency, const Transaction& transaction, Done done);
   void get(Time now, Urgency urgency, const std::string& key, Done done);
@@ -62,6 +64,7 @@
     Done done;
   };
   void submit(Time now, Urgency urgency, Queued request);
+  void setShare(double share);
   bool send(Time now, Urgency urgency, Queued& request);
 
   wire::Calls& calls_;
--- /dev/null
+++ b/tests/loopback/shares_loopback_test.cpp
@@ -0,0 +1,149 @@
+// Shares on real processes: three controllers, the admin daemon and its commands, stand-ins on loopback.
+#include <gtest/gtest.h>
+
+#include "loopback/loopback_world.hpp"
+#include "shares/convergence.hpp"
+
+namespace {
+
+using loopback::LoopbackWorld;
+using namespace reachhoist;
+
+constexpr double kMachines = 8;
+constexpr double kCpusEach = 8;
+constexpr double kAll = kMachines * kCpusEach;
+constexpr double kTaskCpus = 2;
+constexpr double kRunS = 24;
+constexpr const char* kOperators = R"(shares {
+  reclaim_step = 0.3
+  group "class:survey" { weight = 3 }
+  group "class:recon" { weight = 1 }
+}
+)";
+
+config::Settings platform() {
+  config::Settings settings;
+  settings.reportS = 1;
+  settings.leaseS = 12;
+  settings.cancelS = 42;
+  settings.cloudListLagS = 2;
+  settings.zones = {"a"};
+  settings.teams.push_back({"t", 0, 0, 0, 0});
+  settings.objectives.push_back({"wait", "survey", 30, 0.9, 0});
+  settings.objectives.push_back({"wait", "recon", 30, 0.9, 0});
+  for (int i = 0; i < 3; ++i) settings.siblings.push_back({"hoist-" + std::to_string(i), "a", ""});
+  settings.operators.shares.reclaimStep = 0.3;
+  return settings;
+}
+
+standin::MachineTypeSpec machineType() {
+  standin::MachineTypeSpec spec;
+  spec.type.label = "small";
+  spec.type.room = {kCpusEach, 0, 64};
+  spec.type.cacheGb = 50;
+  spec.type.pullGbPerS = 2;
+  spec.type.rate = 1;
+  spec.type.marketPrice = 1;
+  spec.type.bootS = 1;
+  spec.type.zones = {"a"};
+  spec.ordinary = static_cast<int>(kMachines);
+  spec.spot = 0;
+  return spec;
+}
+
+standin::JobPlan array(const std::string& ref, const std::string& jobClass, std::uint32_t tasks) {
+  standin::JobPlan plan;
+  plan.spec.ref.text = ref;
+  plan.spec.jobClass = jobClass;
+  plan.spec.team = "t";
+  plan.spec.taskCount = tasks;
+  plan.spec.each = {kTaskCpus, 0, 2};
+  plan.spec.image = "img";
+  plan.spec.sizeGb = 1;
+  plan.spec.expectS = plan.runS = kRunS;
+  plan.spec.checkpointEveryS = 5;
+  plan.spec.checkpointS = 2;
+  return plan;
+}
+
+// Reports that every worker makes within the bound.
+std::size_t boundReports(const config::Settings& settings) {
+  shares::Move move;
+  move.share = 0.5;
+  move.graceS = 3;
+  move.fetchS = 1;
+  return static_cast<std::size_t>(shares::convergenceBoundReports(settings, move));
+}
+
+// The same while the leader ends: its key runs out, the next one is elected, workers find it, and it first
+// hears what runs.
+std::size_t takeoverReports(const config::Settings& settings) {
+  const double takeoverS = wire::toSeconds(constants::kLeaderTtl) + 2 * settings.reportS + 10;
+  return static_cast<std::size_t>(takeoverS / settings.reportS);
+}
+
+void awaitReports(LoopbackWorld& world, std::size_t reports) {
+  const std::size_t until = world.fewestReports() + reports;
+  ASSERT_TRUE(world.runUntil([&] { return world.fewestReports() >= until; }, 300))
+      << "workers aren't answered";
+}
+
+void expectDivided(const LoopbackWorld& world, double survey, double recon) {
+  EXPECT_NEAR(world.cpusOfClass("survey"), kAll * survey, 2 * kTaskCpus);
+  EXPECT_NEAR(world.cpusOfClass("recon"), kAll * recon, 2 * kTaskCpus);
+}
+
+TEST(SharesOnLoopback, ConvergeWithinTheBoundAndOverALostLeader) {
+  LoopbackWorld world(platform(), {machineType()}, kOperators);
+  world.submit(array("job-1", "survey", 48));
+  world.submit(array("job-2", "recon", 48));
+  ASSERT_TRUE(
+      world.runUntil([&] { return world.cpusOfClass("survey") + world.cpusOfClass("recon") >= kAll; }, 120));
+  expectDivided(world, 0.75, 0.25);
+
+  const auto changed = world.admin({"set", "class:survey=1", "class:recon=3", "--request-id", "ops-1"});
+  EXPECT_EQ(changed.status, 0) << changed.text;
+  EXPECT_NE(changed.text.find("generation=2"), std::string::npos) << changed.text;
+  awaitReports(world, boundReports(platform()));
+  expectDivided(world, 0.25, 0.75);
+  const std::size_t stops = world.stops;
+  EXPECT_LE(stops, kAll * 0.5 / kTaskCpus);
+
+  // Bad requests change nothing and say why.
+  const auto repeated = world.admin({"set", "class:survey=1", "class:recon=3", "--request-id", "ops-1"});
+  EXPECT_EQ(repeated.status, 0);
+  EXPECT_NE(repeated.text.find("generation=2 repeated"), std::string::npos) << repeated.text;
+  const auto stale = world.admin({"set", "class:survey=9", "--if-generation", "1"});
+  EXPECT_EQ(stale.status, 1);
+  EXPECT_NE(stale.text.find("aborted: generation is 2"), std::string::npos) << stale.text;
+  const auto unknown = world.admin({"set", "class:nobody=9"});
+  EXPECT_EQ(unknown.status, 1);
+  EXPECT_NE(unknown.text.find("invalid: group class:nobody"), std::string::npos) << unknown.text;
+  const auto negative = world.admin({"set", "class:survey=-1"});
+  EXPECT_EQ(negative.status, 1);
+  EXPECT_NE(negative.text.find("class:survey weight"), std::string::npos) << negative.text;
+  const auto got = world.admin({"get"});
+  EXPECT_EQ(got.status, 0);
+  EXPECT_NE(got.text.find("class:recon=3"), std::string::npos) << got.text;
+
+  // The leader ends just after the next change.
+  const auto back = world.admin({"set", "class:survey=1", "class:recon=1"});
+  EXPECT_EQ(back.status, 0) << back.text;
+  const std::string leader = world.leaderLabel();
+  ASSERT_FALSE(leader.empty());
+  world.kill(leader);
+  ASSERT_TRUE(
+      world.runUntil([&] { return !world.leaderLabel().empty() && world.leaderLabel() != leader; }, 60));
+  world.restart(leader);
+  awaitReports(world, boundReports(platform()) + takeoverReports(platform()));
+  expectDivided(world, 0.5, 0.5);
+  ASSERT_TRUE(world.runUntil(
+      [&] { return world.admin({"status"}).text.find("generation=3 reported=3") != std::string::npos; }, 60));
+
+  ASSERT_TRUE(
+      world.runUntil([&] { return world.stage["job-1"] == "done" && world.stage["job-2"] == "done"; }, 400));
+  world.checker.finish();
+  for (const std::string& broken : world.checker.broken()) ADD_FAILURE() << "broken rule: " << broken;
+}
+
+}  // namespace
