--- a/src/admin/rpc/service.cpp
+++ b/src/admin/rpc/service.cpp
@@ -135,7 +135,7 @@
     if (!loop_.awaitStatus(seen, system_clock::now() + kWatchStep) && !first) continue;
     first = false;
     v1::StatusReply reply;
-    const auto status = readStatus(system_clock::now() + kDeadlineMost, reply);
+    auto status = readStatus(system_clock::now() + kDeadlineMost, reply);
     if (!status.ok()) return status;
     if (!writer->Write(reply)) break;
   }
--- a/src/admin/share_editor.cpp
+++ b/src/admin/share_editor.cpp
@@ -48,7 +48,7 @@
   to(State::waiting);
 }
 
-void ShareEdit::finish(EditResult result) {
+void ShareEdit::finish(const EditResult& result) {
   if (finished()) return;
   to(State::finished);
   done_(result);
--- a/src/admin/share_editor.hpp
+++ b/src/admin/share_editor.hpp
@@ -45,7 +45,7 @@
   void write(const shares::Table& table, std::uint64_t stamp);
   void onWritten(const wire::CallResult& result, std::uint64_t generation);
   void retry();
-  void finish(EditResult result);
+  void finish(const EditResult& result);
 
   state::Client& client_;
   const config::Settings& settings_;
--- a/src/placement/reclaim.cpp
+++ b/src/placement/reclaim.cpp
@@ -49,16 +49,20 @@
 
 std::uint32_t Round::countComing(const Job& job, std::uint32_t tasks) {
   std::uint32_t coming = 0;
-  for (Bin& bin : bins_) {
-    if (coming >= tasks) break;
-    if (!bin.stopping || !usable(bin, job)) continue;
-    wire::Resources room = bin.room;
-    room += bin.leaving;
-    room -= bin.promised;
-    for (; coming < tasks && job.spec.each.fitsIn(room); ++coming) {
-      room -= job.spec.each;
-      bin.promised += job.spec.each;
-    }
+  for (std::vector<Bin>* bins : {&bins_, &busyBins_})
+    for (Bin& bin : *bins) coming += countComingOn(bin, job, tasks - coming);
+  return coming;
+}
+
+std::uint32_t Round::countComingOn(Bin& bin, const Job& job, std::uint32_t tasks) const {
+  if (tasks == 0 || !bin.stopping || !usable(bin, job)) return 0;
+  wire::Resources room = bin.room;
+  room += bin.leaving;
+  room -= bin.promised;
+  std::uint32_t coming = 0;
+  for (; coming < tasks && job.spec.each.fitsIn(room); ++coming) {
+    room -= job.spec.each;
+    bin.promised += job.spec.each;
   }
   return coming;
 }
--- a/src/placement/round.cpp
+++ b/src/placement/round.cpp
@@ -38,7 +38,7 @@
       }
     }
     lowestPriority_ = std::min(lowestPriority_, bin.lowest);
-    if (takesWork(*machine)) bins_.push_back(std::move(bin));
+    if (takesWork(*machine)) (machine->recordBusy ? busyBins_ : bins_).push_back(std::move(bin));
     if (!isReachable(*machine)) noteUnreachable(*machine);
   }
   anyOverGuarantee_ = std::any_of(teams_.begin(), teams_.end(),
@@ -58,7 +58,7 @@
 }
 
 bool Round::takesWork(const Machine& machine) const {
-  if (machine.phase != machines::MachinePhase::up || machine.recordBusy || machine.sick) return false;
+  if (machine.phase != machines::MachinePhase::up || machine.sick) return false;
   // Heard from in both directions under this term: what is known of it from records, late copies of reports
   // or one direction alone is no reason to give it work.
   if (!machine.echoed || machine.suspectUntil > world_.now) return false;
@@ -175,8 +175,8 @@
   Job& job = *turn.job;
   if (job.waiting == 0 || std::max(job.heldUntil, job.failures.heldUntil()) > world_.now) return;
   Fill progress{job.firstWaiting, 0, FillLimit::none};
-  // What has waited too long gets a start whatever its group has.
-  const bool overlooked = turn.tier == Tier::overlooked;
+  // What has waited too long gets a start whatever its group has, if nothing of it runs.
+  const bool overlooked = turn.tier == Tier::overlooked && job.placed == 0;
   if (!overlooked && !withinShare(job)) return heldByShare_.emplace_back(turn, progress), void();
   if (job.isGang()) return placeGang(job);
   if (job.failures.jobAtFault()) return tryAgain(job);
--- a/src/placement/round.hpp
+++ b/src/placement/round.hpp
@@ -53,7 +53,7 @@
   Plan run();
 
  private:
-  // Whether the machine may be given work at all.
+  // Whether the machine may be given work, once no transaction concerns it.
   bool takesWork(const Machine& machine) const;
   // Whether a command would arrive at once, by all that is known.
   bool isReachable(const Machine& machine) const;
@@ -132,6 +132,7 @@
   void reclaim(const Job& job, std::uint32_t tasks, std::uint32_t covered);
   // Room that is coming is counted on once: nothing is stopped twice for one claim.
   std::uint32_t countComing(const Job& job, std::uint32_t tasks);
+  std::uint32_t countComingOn(Bin& bin, const Job& job, std::uint32_t tasks) const;
   // What one machine gives up for one task.
   struct Yield {
     double cost = 0;
@@ -152,6 +153,7 @@
   const World& world_;
   Plan plan_;
   std::vector<Bin> bins_;
+  std::vector<Bin> busyBins_;  // with a transaction under way; only their room that is coming counts
   std::unordered_map<std::string, TeamUse> teams_;
   std::unordered_map<std::string, ZoneCount> placed_;
   std::set<std::uint64_t> stopped_;  // attempts, by their numbers
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -26,13 +26,22 @@
       electedAt_(context.now),
       pages_(std::min<std::size_t>(constants::kPageBytes, valueRoom(context.settings))),
       valueRoom_(valueRoom(context.settings)),
-      finals_(context.state, context.settings.label + "-" + std::to_string(term) + "-f"),
-      progress_(context.state, context.settings.label + "-" + std::to_string(term) + "-c"),
+      commands_(context, machines_, term,
+                {[this] { return mayAnswer(); }, [this] { return sure(); },
+                 [this](const Attempt& attempt) { return gangMayStart(attempt); },
+                 [this](const wire::TaskId& task) { return records_.isDurable(task); },
+                 [this](Machine& machine, const wire::Report& report) {
+                   takeEvidence(machine, report, Source::direct);
+                 },
+                 [this] { planDue_ = true; }}),
+      records_(context, jobs, context.settings.label + "-" + std::to_string(term),
+               {[this] { return partConditions(); },
+                [this](const state::Outcome& outcome, const char* what) { refusedBy(outcome, what); },
+                [this](jobs::Job& job) { onJobEnded(job); }, [this] { forgetsDue(); }}),
       placements_(context.state, context.settings.label + "-" + std::to_string(term) + "-p"),
       retiring_(context.state, context.settings.label + "-" + std::to_string(term) + "-r"),
-      cleaning_(context.state, context.settings.label + "-" + std::to_string(term) + "-d"),
       cuts_(context.settings),
-      sharesReporter_(context),
+      shares_(context),
       cloud_(std::make_unique<cloud::Client>(
           context.calls, context.settings, context.settings.label + "-" + std::to_string(term),
           cloud::Client::Handlers{
@@ -197,14 +206,14 @@
   for (const DoneRecord& record : doneRecords_) {
     jobs::Job* job = jobs_.find(record.ref);
     if (job == nullptr || !job->open()) {
-      recordDeletes_.insert(jobs::doneKey(record.ref, record.chunk));
+      records_.deleteLater(jobs::doneKey(record.ref, record.chunk));
     } else if (!job->loadDoneChunk(record.chunk, record.hex, record.stamp, context_.now)) {
       context_.event(Level::error, "bad_record", {{"key", jobs::doneKey(record.ref, record.chunk)}});
     }
   }
   doneRecords_.clear();
   for (const std::string& ref : jobs_.open())
-    if (jobs_.find(ref)->finished()) finishedJobs_.insert(ref);
+    if (jobs_.find(ref)->finished()) records_.finished(ref);
   for (const std::string& host : retiringLoaded_) {
     Machine& machine = machines_.add(host);
     machine.phase = MachinePhase::returning;
@@ -311,23 +320,21 @@
   advance();
   if (resigned_) return;
   retiringRound();
-  cleaningRound();
+  records_.clean();
   sizeFleet();
   copyLearned();
-  reportShares();
+  shares_.tick(machines_, jobs_, sure(), [this] { return partConditions(); });
+  if (shares_.tableChanged()) planDue_ = true;
 }
 
 void Owner::advance() {
   if (resigned_ || state_ != State::acting) return;
-  finals_.tick(context_.now);
-  progress_.tick(context_.now);
+  records_.tick();
   placements_.tick(context_.now);
   retiring_.tick(context_.now);
-  cleaning_.tick(context_.now);
-  finalRound();
-  progressRound();
+  records_.write();
   placementRound();
-  if (!resigned_) sendDirects();
+  if (!resigned_) commands_.sendDirects();
 }
 
 void Owner::onJobAccepted(jobs::Job& job) {
@@ -340,12 +347,11 @@
   if (state_ != State::acting) return;
   const std::string ref = job.spec.ref.text;
   job.endOwning();
-  dirtyJobs_.erase(ref);  // its place in the queue is passed over
-  finishedJobs_.erase(ref);
+  records_.forget(ref);
   shown_.erase(ref);
   for (auto& [host, machine] : machines_.all()) {
     for (Attempt& attempt : machine.attempts)
-      if (attempt.task.job.text == ref) stop(machine, attempt, 0);
+      if (attempt.task.job.text == ref) commands_.stop(machine, attempt, 0);
     dropFree(machine);
   }
   planDue_ = true;
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -2,7 +2,6 @@
 // term and loads all it needs to know from the state service first.
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <random>
@@ -15,19 +14,16 @@
 #include "machines/machines.hpp"
 #include "machines/pages.hpp"
 #include "placement/planner.hpp"
+#include "service/completion_records.hpp"
 #include "service/context.hpp"
 #include "service/shares.hpp"
+#include "service/worker_commands.hpp"
 #include "service/zone_cuts.hpp"
 #include "state/feed.hpp"
 #include "state/transaction.hpp"
 
 namespace reachhoist::service {
 
-using machines::Attempt;
-using machines::AttemptPhase;
-using machines::Machine;
-using machines::MachinePhase;
-
 inline constexpr const char* kRetiringKey = "retiring";
 
 class Owner {
@@ -49,8 +45,7 @@
     int status = 503;
     Json body;
   };
-  // How word of a machine came: its report to us, its report to a sibling, or its answer to a direct call.
-  enum class Source { report, relay, direct };
+  using Source = service::Source;
   ReportAnswer onReport(const wire::Report& report, Source source);
   // This process stood still for so long.
   void resumed(wire::Duration away);
@@ -79,11 +74,10 @@
   bool reconfirmed() const;
   // Since when this owner could hear its machines without a break.
   Time listeningSince() const { return std::max(actingSince_, context_.resumedAt); }
-  std::uint64_t tokenOf(const Machine& machine) const { return cluster::token(term_, machine.fence); }
   // Every durable change of an owner depends on its parts.
   std::vector<state::Condition> partConditions() const;
 
-  // --- owner_evidence.cpp, owner_faults.cpp, owner_commands.cpp, owner_reachability.cpp
+  // --- owner_evidence.cpp, owner_faults.cpp, owner_reachability.cpp
   void takeEvidence(Machine& machine, const wire::Report& report, Source source);
   void takeTaskReport(Machine& machine, Attempt& attempt, const wire::TaskReport& reported);
   void takeAbsence(Machine& machine, const wire::Report& report);
@@ -100,17 +94,6 @@
   void judge(Machine& machine);
   void judgeJobs();
   void complete(const wire::TaskId& task);
-  bool durablyDone(const wire::TaskId& task);
-  void stop(Machine& machine, Attempt& attempt, double graceS);
-  void ordersDue(Machine& machine);
-  void raiseFence(Machine& machine);
-  void noteEcho(Machine& machine);
-  std::vector<wire::Order> ordersFor(Machine& machine, Source via, std::uint64_t sequence);
-  bool mayCallWorker() const;
-  void sendDirects();
-  void sendDirect(Machine& machine);
-  void onDirect(const std::string& host, std::uint64_t token, std::uint64_t session,
-                const std::vector<wire::Order>& orders, const wire::CallResult& result);
   void watchSilence();
   // Leaves the lead to a sibling if workers don't reach this controller; true if it has.
   bool handOver();
@@ -124,19 +107,11 @@
   void setRunning(Attempt& attempt, AttemptPhase next);
 
   // --- owner_rounds.cpp: completions, placement, records
-  void markDirty(const std::string& ref);
-  void finalRound();
-  void onFinals(const std::vector<std::string>& refs, const state::Outcome& outcome);
-  void progressRound();
-  void onProgress(const std::vector<std::pair<std::string, std::uint32_t>>& chunks,
-                  const state::Outcome& outcome);
   void forgetsDue();
   void placementRound();
   placement::Plan planRound();
-  // Shares: whether this round may reclaim, and what it has reclaimed.
-  void divideRound(placement::World& world);
-  void noteReclaimed(const placement::Plan& plan);
-  void reportShares();
+  // Whether work may be stopped for the sake of shares.
+  bool mayReclaim() const;
   // Takes the assignments for which the round's pages have room.
   std::set<std::string> takeAssignments(const placement::Plan& plan, std::set<std::uint32_t>& pages,
                                         std::set<std::string>& jobs);
@@ -144,7 +119,6 @@
   void onPlacements(const std::set<std::string>& hosts, const PageNames& pages,
                     const state::Outcome& outcome);
   void retiringRound();
-  void cleaningRound();
   void refusedBy(const state::Outcome& outcome, const char* what);
 
   // --- owner_gangs.cpp: attempts of gangs begin and end whole
@@ -204,22 +178,14 @@
   machines::PageTable pages_;
   std::set<std::uint32_t> stalePages_;  // that name machines which are gone
   Time nextClean_{};
-  Time nextProgress_{};
   std::uint64_t retiringStamp_ = 0;
   std::size_t valueRoom_;  // bytes that one value may hold, in JSON form
   std::uint64_t attempts_ = 0;
-  state::Committer finals_;
-  state::Committer progress_;
+  WorkerCommands commands_;
+  CompletionRecords records_;
   state::Committer placements_;
   state::Committer retiring_;
-  state::Committer cleaning_;
-  std::set<std::string> finishedJobs_;  // whose final stage is not durable
-  std::set<std::string> faultyJobs_;    // held to be at fault themselves
-  std::set<std::string> dirtyJobs_;     // with completions that are not durable
-  std::deque<std::string> dirtyQueue_;  // the same, longest dirty first
-  std::size_t workerCalls_ = 0;         // direct commands and questions to workers under way
-  std::set<std::string> due_;           // machines with orders that a direct command should carry
-  std::set<std::pair<std::string, std::uint32_t>> flyingChunks_;
+  std::set<std::string> faultyJobs_;  // held to be at fault themselves
   bool planDue_ = true;
   Time nextPlan_{};
   Time replanAt_{};
@@ -227,10 +193,7 @@
   Time nextBootCheck_{};
   ZoneCuts cuts_;
   std::vector<placement::Unmet> unmet_;
-  SharesReporter sharesReporter_;
-  std::uint64_t plannedGeneration_ = 0;  // of the table of shares in the latest round
-  Time nextReclaim_{};
-  std::set<std::string> recordDeletes_;
+  SharesInRounds shares_;
   std::set<std::string> reserving_;  // gangs of which some places are not in a transaction yet
   bool unfamiliarLogged_ = false;
 
--- a/src/service/owner_evidence.cpp
+++ b/src/service/owner_evidence.cpp
@@ -56,8 +56,8 @@
   machine->unreachable = false;
   machine->lastHeard = context_.now;
   machine->lastAnswered = std::max(machine->lastAnswered, context_.now);
-  const auto orders = ordersFor(*machine, source, report.sequence);
-  return ReportAnswer{200, wire::encodeOrders(tokenOf(*machine), orders)};
+  const auto orders = commands_.ordersFor(*machine, source, report.sequence);
+  return ReportAnswer{200, wire::encodeOrders(commands_.tokenOf(*machine), orders)};
 }
 
 void Owner::takeEvidence(Machine& machine, const wire::Report& report, Source source) {
@@ -66,7 +66,7 @@
   machine.sequence = report.sequence;
   if (source != Source::relay) machine.lastDirect = context_.now;
   machine.workerToken = std::max(machine.workerToken, report.token);
-  noteEcho(machine);
+  commands_.noteEcho(machine);
   for (Attempt& attempt : machine.attempts) {
     // Once the worker has seen a higher token, the old command can only get a 409.
     if (attempt.openToken && machine.workerToken > *attempt.openToken) attempt.openToken.reset();
@@ -221,7 +221,7 @@
     // A start in an answer is executed at once or never: a later report without it proves that the answer
     // did not arrive. Until the worker is seen with a higher token it gets no more work.
     const bool notTaken = attempt.answeredAt != 0 && report.sequence > attempt.answeredAt;
-    if (notTaken && !seen) raiseFence(machine);
+    if (notTaken && !seen) commands_.raiseFence(machine);
     if (seen || attempt.inherited || attempt.stopWanted || notTaken)
       release(machine, attempt, seen ? "reaped" : notTaken ? "not taken" : "absent");
   }
@@ -258,18 +258,9 @@
   if (job.tasks[task.index] == jobs::TaskPhase::completed) return;
   if (job.isGang()) return completeGang(job);
   job.to(task.index, jobs::TaskPhase::completed, context_.now);
-  job.dirtyChunks.insert(task.index / constants::kDoneChunk);
   if (job.failures.jobAtFault()) job.failures.absolve();
-  markDirty(task.job.text);
+  records_.completed(task);
   planDue_ = true;
 }
 
-bool Owner::durablyDone(const wire::TaskId& task) {
-  jobs::Job* job = jobs_.find(task.job.text);
-  if (job == nullptr || !job->open()) return true;
-  const std::uint32_t chunk = task.index / constants::kDoneChunk;
-  return !job->dirtyChunks.contains(chunk) && !flyingChunks_.contains({task.job.text, chunk}) &&
-         !job->finished();
-}
-
 }  // namespace reachhoist::service
--- a/src/service/owner_fleet.cpp
+++ b/src/service/owner_fleet.cpp
@@ -106,7 +106,7 @@
     if (attempt.gang) {
       stopGang(attempt.task.job.text, constants::kNoHurryS, why);
     } else {
-      stop(machine, attempt, attempt.saves ? attempt.checkpointS + 1 : 0);
+      commands_.stop(machine, attempt, attempt.saves ? attempt.checkpointS + 1 : 0);
     }
   }
 }
--- a/src/service/owner_gangs.cpp
+++ b/src/service/owner_gangs.cpp
@@ -41,7 +41,7 @@
     const bool whole = found.size() == job.spec.taskCount;
     toGang(job, whole ? GangPhase::gathering : GangPhase::clearing, "adopted");
     forEachAttempt(ref, [&](Machine& machine, Attempt& attempt) {
-      if (!whole || attempt.number != job.gang.number) stop(machine, attempt, 0);
+      if (!whole || attempt.number != job.gang.number) commands_.stop(machine, attempt, 0);
     });
   }
 }
@@ -90,7 +90,7 @@
   });
   if (recorded < job.spec.taskCount) return;
   toGang(job, GangPhase::gathering, "all places are durable");
-  forEachAttempt(job.spec.ref.text, [this](Machine& machine, Attempt&) { ordersDue(machine); });
+  forEachAttempt(job.spec.ref.text, [this](Machine& machine, Attempt&) { commands_.markDue(machine); });
 }
 
 void Owner::gangRuns(jobs::Job& job) {
@@ -116,7 +116,7 @@
   job.heldUntil = std::max(
       job.heldUntil, context_.now + std::min<std::chrono::milliseconds>(pause, constants::kGangRetryMost));
   forEachAttempt(job.spec.ref.text, [this](Machine& machine, Attempt& other) {
-    if (other.holdsRoom()) stop(machine, other, 0);
+    if (other.holdsRoom()) commands_.stop(machine, other, 0);
   });
 }
 
@@ -130,7 +130,7 @@
   const bool saves = phase == GangPhase::running && job->spec.checkpointEveryS > 0 && graceS < leftS;
   toGang(*job, GangPhase::stopping, why);
   forEachAttempt(ref, [&](Machine& machine, Attempt& attempt) {
-    if (attempt.holdsRoom()) stop(machine, attempt, saves ? graceS : 0);
+    if (attempt.holdsRoom()) commands_.stop(machine, attempt, saves ? graceS : 0);
   });
 }
 
@@ -140,7 +140,7 @@
   toGang(job, GangPhase::done, "a task is done");
   for (std::uint32_t index = 0; index < job.spec.taskCount; ++index)
     job.to(index, jobs::TaskPhase::completed, context_.now);
-  finishedJobs_.insert(job.spec.ref.text);
+  records_.finished(job.spec.ref.text);
   planDue_ = true;
 }
 
--- a/src/service/owner_reachability.cpp
+++ b/src/service/owner_reachability.cpp
@@ -99,7 +99,7 @@
     if (settled && silent > silentFor && (over || !cut)) condemn(machine, "silent");
     // Overdue and out of reach as well: no need to wait for a third report.
     if (settled && silent > probeAfter && !machine.probing && !machine.unreachable &&
-        !machine.endpoint.empty() && mayCallWorker()) {
+        !machine.endpoint.empty() && commands_.mayCall()) {
       machine.probing = true;
       inspect(machine);
     }
@@ -123,7 +123,7 @@
     if (machine.phase != MachinePhase::up || machine.sequence != 0 || machine.probedUnheard ||
         machine.endpoint.empty())
       continue;
-    if (left-- == 0 || !mayCallWorker()) return;
+    if (left-- == 0 || !commands_.mayCall()) return;
     machine.probedUnheard = true;
     inspect(machine);
   }
@@ -135,7 +135,7 @@
   std::size_t asked = 0;
   const auto overdue = wire::seconds(context_.settings.reportS * constants::kQuietReports + 0.5);
   for (auto& [host, machine] : machines_.all()) {
-    if (asked == constants::kDirectSamples || !mayCallWorker()) return;
+    if (asked == constants::kDirectSamples || !commands_.mayCall()) return;
     const bool relayed =
         context_.now - machine.lastHeard <= overdue && context_.now - machine.lastDirect > overdue;
     if (machine.phase != MachinePhase::up || !relayed || machine.probing || machine.endpoint.empty())
@@ -147,7 +147,7 @@
 }
 
 void Owner::inspect(Machine& machine) {
-  ++workerCalls_;
+  commands_.callBegins();
   wire::Call call;
   call.to = wire::Service::worker;
   call.endpoint = machine.endpoint;
@@ -157,7 +157,7 @@
   context_.calls.start(std::move(call), [this, host = machine.host.text,
                                          alive = std::weak_ptr<int>(alive_)](const wire::CallResult& result) {
     if (!alive.lock()) return;
-    --workerCalls_;
+    commands_.callEnds();
     Machine* known = machines_.find(host);
     if (known == nullptr) return;
     known->probing = false;
@@ -167,7 +167,7 @@
     takeEvidence(*known, *report, Source::direct);
     known->unreachable = false;
     // An empty command brings the token.
-    if (!known->echoed) ordersDue(*known);
+    if (!known->echoed) commands_.markDue(*known);
   });
 }
 
@@ -185,7 +185,7 @@
     if (attempt.gang) {
       stopGang(attempt.task.job.text, leftS, "spot notice");
     } else {
-      stop(machine, attempt, attempt.saves ? attempt.checkpointS + 1 : 0);
+      commands_.stop(machine, attempt, attempt.saves ? attempt.checkpointS + 1 : 0);
     }
   }
 }
--- a/src/service/owner_rounds.cpp
+++ b/src/service/owner_rounds.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "service/owner.hpp"
-#include "shares/convergence.hpp"
 
 namespace reachhoist::service {
 
@@ -21,114 +20,12 @@
   }
 }
 
-// --- completions -------------------------------------------------------------------------------------------
-
-void Owner::markDirty(const std::string& ref) {
-  const jobs::Job& job = *jobs_.find(ref);
-  if (job.finished()) {
-    finishedJobs_.insert(ref);
-  } else if (dirtyJobs_.insert(ref).second) {
-    dirtyQueue_.push_back(ref);
-  }
-}
-
-// Final stages have their own lane: users wait for them, while progress only saves work after a crash.
-void Owner::finalRound() {
-  if (finals_.busy() || finishedJobs_.empty()) return;
-  state::Transaction transaction;
-  std::vector<std::string> refs;
-  for (const std::string& ref : finishedJobs_) {
-    if (refs.size() >= context_.settings.stateTxnOps) break;
-    const jobs::Job* job = jobs_.find(ref);
-    transaction.conditions.push_back({jobs::jobKey(ref), job->stamp});
-    transaction.writes.push_back(
-        {jobs::jobKey(ref), jobs::encodeFinal(*job, jobs::JobPhase::done), std::nullopt});
-    refs.push_back(ref);
-  }
-  for (const std::string& ref : refs) finishedJobs_.erase(ref);
-  for (auto& condition : partConditions()) transaction.conditions.push_back(std::move(condition));
-  finals_.commit(context_.now, state::Urgency::place, std::move(transaction),
-                 [this, refs](const state::Outcome& outcome) { onFinals(refs, outcome); });
-}
-
-void Owner::onFinals(const std::vector<std::string>& refs, const state::Outcome& outcome) {
-  if (outcome.verdict == state::Verdict::refused) {
-    for (const std::string& ref : refs)
-      if (const jobs::Job* job = jobs_.find(ref); job != nullptr && job->open()) finishedJobs_.insert(ref);
-    return refusedBy(outcome, "finals");
-  }
-  for (const std::string& ref : refs) {
-    jobs::Job* job = jobs_.find(ref);
-    // Their records of progress have done their service.
-    for (const auto& [chunk, stamp] : job->doneStamps) recordDeletes_.insert(jobs::doneKey(ref, chunk));
-    const Json record = jobs::encodeFinal(*job, jobs::JobPhase::done);
-    if (jobs_.apply(ref, record, outcome.stamp) == jobs::JobTable::Change::ended) {
-      context_.event(Level::info, "job_done", {{"job", ref}});
-      onJobEnded(*jobs_.find(ref));
-    }
-  }
-  forgetsDue();
-}
-
-void Owner::progressRound() {
-  // Paced, so that less urgent writing gets its turn: what is lost without it is little, since a completed
-  // task that is started again ends at once.
-  if (progress_.busy() || dirtyJobs_.empty() || context_.now < nextProgress_) return;
-  nextProgress_ = context_.now + constants::kProgressGap;
-  state::Transaction transaction;
-  std::vector<std::pair<std::string, std::uint32_t>> chunks;
-  const std::size_t most = context_.settings.stateTxnOps;
-  // Longest dirty first, so that none is passed for ever when there is more than the budget carries.
-  while (!dirtyQueue_.empty() && chunks.size() < most) {
-    const std::string ref = dirtyQueue_.front();
-    jobs::Job* job = jobs_.find(ref);
-    if (!dirtyJobs_.contains(ref) || job == nullptr || !job->open() || job->finished() ||
-        job->dirtyChunks.empty()) {
-      dirtyJobs_.erase(ref);
-      dirtyQueue_.pop_front();
-      continue;
-    }
-    const std::uint32_t chunk = *job->dirtyChunks.begin();
-    job->dirtyChunks.erase(job->dirtyChunks.begin());
-    const auto stamp = job->doneStamps.find(chunk);
-    transaction.conditions.push_back(
-        {jobs::doneKey(ref, chunk), stamp == job->doneStamps.end() ? 0 : stamp->second});
-    transaction.writes.push_back({jobs::doneKey(ref, chunk), Json{{"hex", job->doneChunk(chunk)}}, {}});
-    chunks.emplace_back(ref, chunk);
-    flyingChunks_.insert(chunks.back());
-  }
-  if (chunks.empty()) return;
-  for (auto& condition : partConditions()) transaction.conditions.push_back(std::move(condition));
-  progress_.commit(context_.now, state::Urgency::complete, std::move(transaction),
-                   [this, chunks](const state::Outcome& outcome) { onProgress(chunks, outcome); });
-}
-
-void Owner::onProgress(const std::vector<std::pair<std::string, std::uint32_t>>& chunks,
-                       const state::Outcome& outcome) {
-  for (const auto& chunk : chunks) flyingChunks_.erase(chunk);
-  const bool applied = outcome.verdict == state::Verdict::applied;
-  for (const auto& [ref, chunk] : chunks) {
-    jobs::Job* job = jobs_.find(ref);
-    const bool open = job != nullptr && job->open();
-    if (applied && open) {
-      job->doneStamps[chunk] = outcome.stamp;
-    } else if (applied) {
-      recordDeletes_.insert(jobs::doneKey(ref, chunk));  // it has ended in between
-    } else if (open) {
-      job->dirtyChunks.insert(chunk);
-      markDirty(ref);
-    }
-  }
-  if (!applied) return refusedBy(outcome, "progress");
-  forgetsDue();
-}
-
 void Owner::forgetsDue() {
   for (auto& [host, machine] : machines_.all()) {
     const bool forgettable = std::any_of(machine.attempts.begin(), machine.attempts.end(),
                                          [](const Attempt& a) { return a.phase == AttemptPhase::ended; });
     // The next report's answer carries it: nobody waits for a forget command.
-    if (forgettable && machine.attempts.size() > constants::kEndedListedMost) ordersDue(machine);
+    if (forgettable && machine.attempts.size() > constants::kEndedListedMost) commands_.markDue(machine);
   }
 }
 
@@ -142,7 +39,6 @@
 }
 
 placement::Plan Owner::planRound() {
-  if (context_.shares) plannedGeneration_ = context_.shares->generation;
   const std::size_t ops = context_.settings.stateTxnOps;
   placement::World world{context_.settings,
                          context_.now,
@@ -156,14 +52,14 @@
     world.open.push_back(job);
     if (job->waiting > 0) world.jobs.push_back(job);
   }
+  shares_.prepare(world, mayReclaim());
   if (world.jobs.empty()) {
     unmet_.clear();
     return {};
   }
   world.machines = allMachines();
-  divideRound(world);
   placement::Plan plan = placement::plan(world);
-  noteReclaimed(plan);
+  shares_.planned(plan);
   unmet_ = std::move(plan.unmet);
   // What waits is looked at again when something has changed, or when time alone may have changed it.
   nextPlan_ = context_.now + (plan.assignments.empty() && plan.stops.empty() ? constants::kIdleRoundGap
@@ -176,37 +72,18 @@
       if (attempt->gang) {
         stopGang(attempt->task.job.text, constants::kNoHurryS, "preempted");
       } else {
-        stop(*order.machine, *attempt, order.graceS);
+        commands_.stop(*order.machine, *attempt, order.graceS);
       }
     }
   }
   return plan;
 }
 
-void Owner::divideRound(placement::World& world) {
-  if (!context_.shares) return;
-  world.shares = &*context_.shares;
+bool Owner::mayReclaim() const {
   // A new leader first hears what runs: until then all tasks look freshly started, and those that an earlier
   // leader has stopped look as if they went on.
   const auto settle = wire::seconds(context_.settings.reportS * 1.5 + 1);
-  world.mayReclaim = context_.now >= nextReclaim_ && context_.now - actingSince_ >= settle && sure();
-}
-
-void Owner::noteReclaimed(const placement::Plan& plan) {
-  if (plan.reclaimed == 0) return;
-  nextReclaim_ = context_.now + wire::seconds(shares::reclaimPauseS(context_.settings));
-  context_.event(Level::info, "reclaim",
-                 {{"stops", plan.reclaimed}, {"generation", context_.shares->generation}});
-}
-
-void Owner::reportShares() {
-  if (!context_.shares) return;
-  if (context_.shares->generation != plannedGeneration_) planDue_ = true;
-  if (!sharesReporter_.due() || !sure()) return;
-  std::vector<const jobs::Job*> open;
-  for (const std::string& ref : jobs_.open()) open.push_back(jobs_.find(ref));
-  const auto ranksAbove = placement::ranksAboveShares(context_.settings, open);
-  sharesReporter_.tick(allMachines(), open, ranksAbove, partConditions());
+  return context_.now - actingSince_ >= settle && sure();
 }
 
 std::set<std::string> Owner::takeAssignments(const placement::Plan& plan, std::set<std::uint32_t>& pages,
@@ -318,7 +195,7 @@
       const bool wanted = !attempt.stopWanted && machine->phase == MachinePhase::up;
       if (applied && wanted) {
         attempt.to(AttemptPhase::recorded, context_.now);
-        ordersDue(*machine);
+        commands_.markDue(*machine);
         if (context_.logs(Level::debug))
           context_.event(Level::debug, "placed", {{"task", attempt.task.str()}, {"machine", host}});
       } else {
@@ -375,21 +252,4 @@
                    });
 }
 
-void Owner::cleaningRound() {
-  if (cleaning_.busy() || recordDeletes_.empty()) return;
-  state::Transaction transaction;
-  std::vector<std::string> deletes;
-  for (const std::string& key : recordDeletes_) {
-    if (deletes.size() >= context_.settings.stateTxnOps) break;
-    transaction.writes.push_back({key, std::nullopt, std::nullopt});
-    deletes.push_back(key);
-  }
-  transaction.conditions = partConditions();
-  cleaning_.commit(context_.now, state::Urgency::rest, std::move(transaction),
-                   [this, deletes](const state::Outcome& outcome) {
-                     if (outcome.verdict != state::Verdict::applied) return refusedBy(outcome, "cleaning");
-                     for (const std::string& key : deletes) recordDeletes_.erase(key);
-                   });
-}
-
 }  // namespace reachhoist::service
--- a/src/service/shares.cpp
+++ b/src/service/shares.cpp
@@ -4,6 +4,8 @@
 #include <limits>
 #include <utility>
 
+#include "shares/convergence.hpp"
+
 namespace reachhoist::service {
 
 SharesFollower::SharesFollower(Context& context)
@@ -64,11 +66,30 @@
                        });
 }
 
-Json SharesReporter::encode(const shares::Census& census) const {
+void SharesInRounds::prepare(placement::World& world, bool mayReclaim) {
+  if (!context_.shares) return;
+  generation_ = context_.shares->generation;
+  world.shares = &*context_.shares;
+  world.mayReclaim = mayReclaim && context_.now >= nextReclaim_;
+}
+
+void SharesInRounds::planned(const placement::Plan& plan) {
+  if (plan.reclaimed == 0) return;
+  nextReclaim_ = context_.now + wire::seconds(shares::reclaimPauseS(context_.settings));
+  context_.event(Level::info, "reclaim", {{"stops", plan.reclaimed}, {"generation", generation_}});
+}
+
+Json SharesInRounds::status(machines::MachineTable& machines, jobs::JobTable& jobs) const {
   // Enough digits for a task among 4,000 machines; more would make every record a new one.
   constexpr double kDigits = 1e5;
   const auto rounded = [](double share) { return std::round(share * kDigits) / kDigits; };
+  std::vector<machines::Machine*> all;
+  for (auto& [host, machine] : machines.all()) all.push_back(&machine);
+  std::vector<const jobs::Job*> open;
+  for (const std::string& ref : jobs.open()) open.push_back(jobs.find(ref));
   const shares::Table& table = *context_.shares;
+  const shares::Census census = shares::takeCensus(table, context_.settings, all, open,
+                                                   placement::ranksAboveShares(context_.settings, open));
   const auto groupShares = shares::divide(census.capacity, census.loads);
   const auto converged = shares::converged(census, groupShares);
   Json groups = Json::array();
@@ -83,17 +104,16 @@
   return Json{{"generation", table.generation}, {"groups", std::move(groups)}};
 }
 
-void SharesReporter::tick(const std::vector<machines::Machine*>& machines,
-                          const std::vector<const jobs::Job*>& open, const shares::RanksAbove& ranksAbove,
-                          const std::vector<state::Condition>& conditions) {
-  if (!due()) return;
-  next_ = context_.now + constants::kShareStatusEvery;
-  Json status = encode(shares::takeCensus(*context_.shares, context_.settings, machines, open, ranksAbove));
-  if (status == written_) return;
+void SharesInRounds::tick(machines::MachineTable& machines, jobs::JobTable& jobs, bool sure,
+                          const Conditions& conditions) {
+  if (!context_.shares || !sure || context_.now < nextStatus_) return;
+  nextStatus_ = context_.now + constants::kShareStatusEvery;
+  Json now = status(machines, jobs);
+  if (now == written_) return;
   state::Transaction transaction;
-  transaction.conditions = conditions;
-  transaction.writes.push_back({shares::kStatusKey, status, std::nullopt});
-  written_ = std::move(status);
+  transaction.conditions = conditions();
+  transaction.writes.push_back({shares::kStatusKey, now, std::nullopt});
+  written_ = std::move(now);
   context_.state.multi(context_.now, state::Urgency::rest, transaction, [](const auto&) {});
 }
 
--- a/src/service/shares.hpp
+++ b/src/service/shares.hpp
@@ -2,11 +2,12 @@
 // reports how far the groups have come.
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <vector>
 
+#include "placement/planner.hpp"
 #include "service/context.hpp"
-#include "shares/census.hpp"
 #include "shares/table.hpp"
 #include "state/key_watch.hpp"
 
@@ -35,19 +36,30 @@
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
-// Writes the groups' status for operators while this controller leads.
-class SharesReporter {
+// Shares in the rounds of the controller that leads: what the owner's rounds divide by, when they may
+// reclaim, and the groups' status for operators.
+class SharesInRounds {
  public:
-  explicit SharesReporter(Context& context) : context_(context) {}
-  void tick(const std::vector<machines::Machine*>& machines, const std::vector<const jobs::Job*>& open,
-            const shares::RanksAbove& ranksAbove, const std::vector<state::Condition>& conditions);
-  bool due() const { return context_.shares && context_.now >= next_; }
+  using Conditions = std::function<std::vector<state::Condition>()>;
+
+  explicit SharesInRounds(Context& context) : context_(context) {}
+
+  // Before a round: the table, and whether the round may stop work for its sake.
+  void prepare(placement::World& world, bool mayReclaim);
+  // After it.
+  void planned(const placement::Plan& plan);
+  // A table is in force that no round has divided by.
+  bool tableChanged() const { return context_.shares && context_.shares->generation != generation_; }
+  // Writes the status now and then, if it has changed and the lead is confirmed.
+  void tick(machines::MachineTable& machines, jobs::JobTable& jobs, bool sure, const Conditions& conditions);
 
  private:
-  Json encode(const shares::Census& census) const;
+  Json status(machines::MachineTable& machines, jobs::JobTable& jobs) const;
 
   Context& context_;
-  Time next_{};
+  std::uint64_t generation_ = 0;  // of the table in the latest round
+  Time nextReclaim_{};
+  Time nextStatus_{};
   Json written_;
 };
 
--- a/src/service/owner_commands.cpp
+++ b/src/service/worker_commands.cpp
@@ -1,11 +1,15 @@
-// Commands to workers: in the answers to their reports, and directly.
-#include <algorithm>
+#include "service/worker_commands.hpp"
 
-#include "service/owner.hpp"
+#include <algorithm>
+#include <utility>
 
 namespace reachhoist::service {
 
-void Owner::stop(Machine& machine, Attempt& attempt, double graceS) {
+WorkerCommands::WorkerCommands(Context& context, machines::MachineTable& machines, std::uint64_t term,
+                               Hooks hooks)
+    : context_(context), machines_(machines), term_(term), hooks_(std::move(hooks)) {}
+
+void WorkerCommands::stop(Machine& machine, Attempt& attempt, double graceS) {
   if (attempt.phase == AttemptPhase::planned || attempt.phase == AttemptPhase::ended) {
     attempt.stopWanted = true;
     return;
@@ -15,15 +19,15 @@
   attempt.stopWanted = true;
   attempt.graceS = graceS;
   attempt.stopSent = false;
-  ordersDue(machine);
+  markDue(machine);
 }
 
-void Owner::ordersDue(Machine& machine) {
+void WorkerCommands::markDue(Machine& machine) {
   machine.ordersDue = true;
   due_.insert(machine.host.text);
 }
 
-void Owner::raiseFence(Machine& machine) {
+void WorkerCommands::raiseFence(Machine& machine) {
   // Once is enough until the worker has been seen with it.
   if (machine.workerToken < tokenOf(machine)) return;
   ++machine.fence;
@@ -31,17 +35,17 @@
   machine.unechoedSince = context_.now;
 }
 
-void Owner::noteEcho(Machine& machine) {
+void WorkerCommands::noteEcho(Machine& machine) {
   if (machine.echoed || machine.workerToken < tokenOf(machine)) {
     if (!machine.echoed && machine.unechoedSince == Time{}) machine.unechoedSince = context_.now;
     return;
   }
   machine.echoed = true;
   machine.unechoedSince = Time{};
-  planDue_ = true;
+  hooks_.echoed();
 }
 
-std::vector<wire::Order> Owner::ordersFor(Machine& machine, Source via, std::uint64_t sequence) {
+std::vector<wire::Order> WorkerCommands::ordersFor(Machine& machine, Source via, std::uint64_t sequence) {
   std::vector<wire::Order> forgets;
   std::vector<wire::Order> rest;
   for (Attempt& attempt : machine.attempts) {
@@ -56,7 +60,7 @@
         if (attempt.stopWanted) {
           order.verb = wire::Verb::stop;
           rest.push_back(order);
-        } else if (attempt.directs == 0 && sure() && (!attempt.gang || gangMayStart(attempt))) {
+        } else if (attempt.directs == 0 && hooks_.sure() && (!attempt.gang || hooks_.mayStartGang(attempt))) {
           // Nothing is begun on old news: another controller may have confirmed the job's cancellation since.
           if (via != Source::direct && attempt.answeredAt == 0) attempt.answeredAt = sequence;
           rest.push_back(order);
@@ -76,7 +80,8 @@
       case AttemptPhase::ended:
         // A start that may still arrive would start the attempt anew once the worker has forgotten it.
         if (attempt.directs > 0 || attempt.openToken) break;
-        if (attempt.cause == wire::Cause::done && !attempt.isService && !durablyDone(attempt.task)) break;
+        if (attempt.cause == wire::Cause::done && !attempt.isService && !hooks_.isDurable(attempt.task))
+          break;
         order.verb = wire::Verb::forget;
         forgets.push_back(order);
         break;
@@ -86,11 +91,11 @@
   return forgets;
 }
 
-bool Owner::mayCallWorker() const { return workerCalls_ < context_.settings.workerCallsMost(); }
+bool WorkerCommands::mayCall() const { return calls_ < context_.settings.workerCallsMost(); }
 
-void Owner::sendDirects() {
+void WorkerCommands::sendDirects() {
   // The rest waits for sockets: machines that don't answer hold theirs for up to the time limit.
-  for (auto at = due_.begin(); at != due_.end() && mayCallWorker();) {
+  for (auto at = due_.begin(); at != due_.end() && mayCall();) {
     Machine* machine = machines_.find(*at);
     if (machine != nullptr && machine->ordersDue && (machine->direct || context_.now < machine->nextDirect)) {
       ++at;
@@ -101,16 +106,16 @@
   }
 }
 
-void Owner::sendDirect(Machine& machine) {
+void WorkerCommands::sendDirect(Machine& machine) {
   machine.ordersDue = false;
-  if (machine.endpoint.empty() || machine.session == 0 || !mayAnswer()) return;
+  if (machine.endpoint.empty() || machine.session == 0 || !hooks_.mayAnswer()) return;
   if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::draining) return;
   const auto orders = ordersFor(machine, Source::direct, 0);
   if (orders.empty() && (machine.echoed || !machine.probedUnheard)) return;
   for (const wire::Order& order : orders)
     if (order.verb == wire::Verb::start) ++machine.find(order.task, order.attempt)->directs;
   machine.direct = true;
-  ++workerCalls_;
+  ++calls_;
   wire::Call call;
   call.to = wire::Service::worker;
   call.endpoint = machine.endpoint;
@@ -124,13 +129,13 @@
                        [this, host = machine.host.text, token, session = machine.session, orders,
                         alive = std::weak_ptr<int>(alive_)](const wire::CallResult& result) {
                          if (!alive.lock()) return;
-                         --workerCalls_;
+                         --calls_;
                          onDirect(host, token, session, orders, result);
                        });
 }
 
-void Owner::onDirect(const std::string& host, std::uint64_t token, std::uint64_t session,
-                     const std::vector<wire::Order>& orders, const wire::CallResult& result) {
+void WorkerCommands::onDirect(const std::string& host, std::uint64_t token, std::uint64_t session,
+                              const std::vector<wire::Order>& orders, const wire::CallResult& result) {
   Machine* machine = machines_.find(host);
   if (machine == nullptr) return;
   machine->direct = false;
@@ -155,7 +160,7 @@
     return;
   }
   if (auto report = wire::decodeReport(result.body); report && report->host.text == host)
-    takeEvidence(*machine, *report, Source::direct);
+    hooks_.answered(*machine, *report);
 }
 
 }  // namespace reachhoist::service
--- /dev/null
+++ b/src/service/worker_commands.hpp
@@ -0,0 +1,71 @@
+// Commands to workers: what is to be started, stopped and forgotten on each machine, in the answers to its
+// reports and directly, under tokens that make older commands void.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cluster/leadership.hpp"
+#include "machines/machines.hpp"
+#include "service/context.hpp"
+
+namespace reachhoist::service {
+
+using machines::Attempt;
+using machines::AttemptPhase;
+using machines::Machine;
+using machines::MachinePhase;
+
+// How word of a machine came: its report to us, its report to a sibling, or its answer to a direct call.
+enum class Source { report, relay, direct };
+
+class WorkerCommands {
+ public:
+  struct Hooks {
+    std::function<bool()> mayAnswer;  // the lead was confirmed lately enough to renew leases
+    std::function<bool()> sure;       // nobody else can lead yet
+    std::function<bool(const Attempt&)> mayStartGang;
+    std::function<bool(const wire::TaskId&)> isDurable;  // the task's completion is
+    std::function<void(Machine&, const wire::Report&)> answered;
+    std::function<void()> echoed;  // a machine has been seen with its newest token
+  };
+
+  WorkerCommands(Context& context, machines::MachineTable& machines, std::uint64_t term, Hooks hooks);
+  WorkerCommands(const WorkerCommands&) = delete;
+
+  std::uint64_t tokenOf(const Machine& machine) const { return cluster::token(term_, machine.fence); }
+  // The task is told to stop; a second time only with less grace.
+  void stop(Machine& machine, Attempt& attempt, double graceS);
+  // A direct command should carry what is due on the machine.
+  void markDue(Machine& machine);
+  // Makes commands under the machine's present token void.
+  void raiseFence(Machine& machine);
+  // Notes whether the machine has been seen with its newest token.
+  void noteEcho(Machine& machine);
+  // Everything that is due on the machine, noted as sent that way.
+  std::vector<wire::Order> ordersFor(Machine& machine, Source via, std::uint64_t sequence);
+  void sendDirects();
+
+  // Calls to workers share the sockets, questions of others included.
+  bool mayCall() const;
+  void callBegins() { ++calls_; }
+  void callEnds() { --calls_; }
+
+ private:
+  void sendDirect(Machine& machine);
+  void onDirect(const std::string& host, std::uint64_t token, std::uint64_t session,
+                const std::vector<wire::Order>& orders, const wire::CallResult& result);
+
+  Context& context_;
+  machines::MachineTable& machines_;
+  std::uint64_t term_;
+  Hooks hooks_;
+  std::size_t calls_ = 0;      // under way
+  std::set<std::string> due_;  // machines with orders that a direct command should carry
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}  // namespace reachhoist::service
--- a/src/shares/division.cpp
+++ b/src/shares/division.cpp
@@ -99,7 +99,7 @@
     }
     for (std::size_t resource = 0; resource < kResources; ++resource)
       if (speed[resource] > 0) next = std::min(next, level + (1 - used(resource)) / speed[resource]);
-    return next == kNever ? kNever : std::max(next, level);
+    return std::max(next, level);
   }
 
   std::vector<Rising> groups_;
--- a/tests/property/share_fleet.hpp
+++ b/tests/property/share_fleet.hpp
@@ -23,6 +23,8 @@
  public:
   ShareFleet(std::size_t machines, const std::vector<double>& weights, double step = 1);
   void setWeights(const std::vector<double>& weights);
+  // Without them the same fleet is not divided.
+  void turnShares(bool on) { on_ = on; }
   void submit(const JobShape& shape);
   // One round: assignments run, stops are on their way out.
   placement::Plan round();
@@ -46,6 +48,7 @@
 
   config::Settings settings_;
   shares::Table table_;
+  bool on_ = true;
   std::deque<machines::Machine> machines_;
   std::deque<jobs::Job> jobs_;
   std::uint64_t attempts_ = 0;
--- a/tests/scenario/actions.cpp
+++ b/tests/scenario/actions.cpp
@@ -40,6 +40,8 @@
 
 // What somebody may have stored in place of a good table.
 Json storedTable(const std::string& kind, Json table) {
+  const Json share{{"group", "class:survey"}, {"weight", 1}};
+  if (kind == "plain") return Json{{"generation", 7}, {"others", 50}, {"groups", Json::array({share})}};
   const std::uint64_t generation = table.value("generation", 0);
   table["generation"] = generation + 1;
   if (kind == "garbled") return Json{{"groups", "none"}};
