--- a/src/admin/rpc/daemon.cpp
+++ b/src/admin/rpc/daemon.cpp
@@ -1,5 +1,6 @@
 #include "admin/rpc/daemon.hpp"
 
+#include <arpa/inet.h>
 #include <grpcpp/grpcpp.h>
 
 #include <csignal>
@@ -10,8 +11,12 @@
 namespace reachhoist::admin {
 
 bool isLocal(const std::string& address) {
-  return address.starts_with("unix:") || address.starts_with("127.") || address.starts_with("localhost:") ||
-         address.starts_with("[::1]:");
+  constexpr std::uint32_t kLoopbackNet = 127;
+  constexpr unsigned kNetShift = 24;
+  if (address.starts_with("unix:") || address.starts_with("localhost:") || address.starts_with("[::1]:"))
+    return true;
+  net::Address parsed;
+  return net::Address::parse(address, parsed) && ntohl(parsed.ip) >> kNetShift == kLoopbackNet;
 }
 
 int serve(const config::Settings& settings, const std::string& address) {
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -39,7 +39,8 @@
   std::vector<Assignment> assignments;
   std::vector<Stop> stops;
   std::vector<Unmet> unmet;
-  std::size_t reclaimed = 0;  // of the stops, those for the sake of shares; a gang counts once
+  bool triedReclaiming = false;  // looked for work to stop for the sake of shares
+  std::size_t reclaimed = 0;     // of the stops, those for the sake of shares; a gang counts once
 };
 
 struct TeamUse {
--- a/src/placement/reclaim.cpp
+++ b/src/placement/reclaim.cpp
@@ -16,6 +16,8 @@
 }
 
 void Round::placeHeld() {
+  // What is awaited now stays so: nobody takes room there, and elsewhere room only becomes less.
+  for (Bin& bin : bins_) bin.awaited = isAwaited(bin);
   for (const auto& [turn, progress] : std::exchange(heldByShare_, {})) placeHeldJob(turn, progress);
 }
 
@@ -75,9 +77,13 @@
   for (std::uint32_t i = 0; i < coming; ++i) ledger_->claim(job);
   covered += coming;
   if (!world_.mayReclaim || !ledger_->withinStep() || covered >= tasks || !ledger_->mayClaim(job)) return;
+  if (!ledger_->anyAbove() || askedInVain(job)) return;
+  plan_.triedReclaiming = true;
   std::vector<Yield> heap;
   for (std::size_t at = 0; at < bins_.size(); ++at)
     if (auto yield = yieldOf(job, at)) heap.push_back(std::move(*yield));
+  const bool anywhere = !job.spec.machineTypes && !job.spec.zone && !job.spec.oneZone && !job.spec.apart;
+  if (heap.empty() && anywhere && (job.spec.spot || !anySpot_)) inVain_.push_back(&job);
   std::make_heap(heap.begin(), heap.end());
   while (!heap.empty() && covered < tasks && ledger_->withinStep() && ledger_->mayClaim(job)) {
     std::pop_heap(heap.begin(), heap.end());
@@ -97,6 +103,12 @@
   }
 }
 
+bool Round::askedInVain(const Job& job) const {
+  return std::any_of(inVain_.begin(), inVain_.end(), [&](const Job* other) {
+    return other->spec.each.fitsIn(job.spec.each) && other->spec.priority >= job.spec.priority;
+  });
+}
+
 std::optional<Round::Yield> Round::yieldOf(const Job& job, std::size_t at) const {
   const Bin& bin = bins_[at];
   const Machine& machine = *bin.machine;
--- a/src/placement/round.cpp
+++ b/src/placement/round.cpp
@@ -17,7 +17,7 @@
         return team.cpus > 0 || team.cpusMax > 0 || team.gpus > 0 || team.gpusMax > 0;
       });
   for (Machine* machine : world.machines) {
-    Bin bin{machine, machine->total, wire::Priority::prod, false, {}, {}, {}};
+    Bin bin{machine, machine->total, wire::Priority::prod, false, {}, {}, false, {}};
     for (const machines::Attempt& attempt : machine->attempts) {
       if (!attempt.holdsRoom()) continue;
       bin.room -= attempt.each;
@@ -37,6 +37,7 @@
         bin.lowest = std::min(bin.lowest, attempt.priority);
       }
     }
+    anySpot_ = anySpot_ || machine->spot;
     lowestPriority_ = std::min(lowestPriority_, bin.lowest);
     if (takesWork(*machine)) (machine->recordBusy ? busyBins_ : bins_).push_back(std::move(bin));
     if (!isReachable(*machine)) noteUnreachable(*machine);
@@ -141,7 +142,7 @@
   const bool leftover = beyond == BeyondShare::leftover;
   std::vector<Choice> heap;
   for (std::size_t i = 0; i < bins_.size(); ++i)
-    if (job.spec.each.fitsIn(bins_[i].room) && usable(bins_[i], job) && !(leftover && isAwaited(bins_[i])))
+    if (job.spec.each.fitsIn(bins_[i].room) && usable(bins_[i], job) && !(leftover && bins_[i].awaited))
       heap.push_back(Choice{delay(bins_[i], job), i});
   std::make_heap(heap.begin(), heap.end());
   std::uint32_t taken = 0;
--- a/src/placement/round.hpp
+++ b/src/placement/round.hpp
@@ -26,7 +26,8 @@
   bool stopping = false;                         // something on it is on its way out
   wire::Resources leaving;                       // held by what is on its way out
   wire::Resources promised;                      // of room and of that, what jobs count on
-  std::vector<const std::string*> planned;       // images that this round's tasks bring
+  bool awaited = false;  // by a job that is entitled to it; known once all such jobs have had their turn
+  std::vector<const std::string*> planned;  // images that this round's tasks bring
 
   bool brings(const std::string& image) const {
     return std::any_of(planned.begin(), planned.end(), [&](const auto* other) { return *other == image; });
@@ -127,6 +128,9 @@
   void placeHeld();
   void placeHeldJob(const Turn& turn, Fill progress);
   bool isAwaited(const Bin& bin) const;
+  // Whether an earlier job that asked for no more, and could go anywhere, found nothing to stop in this
+  // round.
+  bool askedInVain(const Job& job) const;
   // Asks groups above their entitlement for the room of so many tasks, as far as the job's group lies below
   // its own. For some of them, there is room already, or soon.
   void reclaim(const Job& job, std::uint32_t tasks, std::uint32_t covered);
@@ -163,9 +167,11 @@
   wire::Priority lowestPriority_ = wire::Priority::prod;
   bool anyOverGuarantee_ = false;
   std::size_t jobs_ = 0;
+  bool anySpot_ = false;  // some machine is
   std::size_t held_ = 0;  // gangs for which room is held
   std::optional<shares::Ledger> ledger_;
   std::vector<std::pair<Turn, Fill>> heldByShare_;
+  std::vector<const Job*> inVain_;    // jobs that could go anywhere, and found nothing to stop
   std::vector<const Job*> entitled_;  // below their entitlement, and without room
 };
 
--- a/src/service/shares.cpp
+++ b/src/service/shares.cpp
@@ -74,6 +74,8 @@
 }
 
 void SharesInRounds::planned(const placement::Plan& plan) {
+  // Looking costs a walk over all machines: what could not be found now is not looked for in every round.
+  if (plan.triedReclaiming) nextReclaim_ = context_.now + constants::kReplanEvery;
   if (plan.reclaimed == 0) return;
   nextReclaim_ = context_.now + wire::seconds(shares::reclaimPauseS(context_.settings));
   context_.event(Level::info, "reclaim", {{"stops", plan.reclaimed}, {"generation", generation_}});
--- a/src/shares/ledger.cpp
+++ b/src/shares/ledger.cpp
@@ -67,6 +67,14 @@
     claimed_[standing->group] += shares::unitOf(job);
 }
 
+bool Ledger::anyAbove() const {
+  for (std::size_t group = 0; group < shares_.size(); ++group)
+    if (!shares_[group].granted() &&
+        dominantShare(census_.loads[group].running, census_.capacity) > shares_[group].entitled + kEpsilon)
+      return true;
+  return false;
+}
+
 Resources Ledger::unitOf(const machines::Attempt& attempt) const {
   if (!attempt.gang) return attempt.each;
   const JobStanding* standing = census_.find(attempt.task.job.text);
--- a/src/shares/ledger.hpp
+++ b/src/shares/ledger.hpp
@@ -48,6 +48,8 @@
 
   bool mayGive(const machines::Attempt& attempt) const { return Trial(*this).mayGive(attempt); }
   void give(const machines::Attempt& attempt);
+  // Whether any group has more than it is entitled to.
+  bool anyAbove() const;
   bool withinStep() const { return reclaimed_ < step_; }
   // It is stopped for another reason.
   void leave(const machines::Attempt& attempt);
