--- a/tests/loopback/loopback_world.cpp
+++ b/tests/loopback/loopback_world.cpp
@@ -161,6 +161,11 @@
     if (node->settings.label == label) boot(*node);
 }
 
+void LoopbackWorld::endProcesses() {
+  controllers_.clear();
+  admin_.reset();
+}
+
 LoopbackWorld::Node& LoopbackWorld::anyNode() { return *nodes[nextNode_++ % nodes.size()]; }
 
 void LoopbackWorld::toNode(Node& node, const std::string& method, const std::string& target,
--- a/tests/loopback/loopback_world.hpp
+++ b/tests/loopback/loopback_world.hpp
@@ -26,6 +26,7 @@
   std::string leaderLabel() const;
   void kill(const std::string& label);
   void restart(const std::string& label);
+  void endProcesses();
   // Runs the admin program with these words to its end.
   struct Output {
     int status = -1;
