--- a/src/cluster/leadership.cpp
+++ b/src/cluster/leadership.cpp
@@ -66,14 +66,20 @@
   return {partitionKey(partition), Json{{"owner", settings_.label}, {"term", term}}, std::nullopt};
 }
 
+void Leadership::report(const ElectionEvent& event) const {
+  if (handlers_.observed) handlers_.observed(event);
+}
+
 void Leadership::onEntry(const std::string& key, const Json* value, std::uint64_t revision) {
   if (key == kLeaderKey) {
     leader_ = value != nullptr ? wire::textField(*value, "label").value_or("") : "";
     leaderRevision_ = value != nullptr ? revision : 0;
+    report(LeaderObserved{leader_, revision});
   } else if (key == kTermKey && value != nullptr) {
     termRevision_ = revision;
     const auto term = wire::countField(*value, "term").value_or(0);
     if (state_ != State::leading && state_ != State::acquiring) term_ = std::max(term_, term);
+    report(TermObserved{term, revision, term_});
     if (const auto count = wire::countField(*value, "parts"); count && *count > 0)
       partitionCount_ = static_cast<unsigned>(*count);
     checkLayout(wire::countField(*value, "layout").value_or(1));
@@ -146,6 +152,7 @@
   transitionTo(State::campaigning);
   const std::uint64_t term = term_ + 1;
   const Time sentAt = now_;
+  report(CampaignStarted{term, leaderRevision_, termRevision_});
   state::Transaction transaction;
   transaction.conditions = {{kLeaderKey, leaderRevision_}, {kTermKey, termRevision_}};
   transaction.writes.push_back({kLeaderKey, Json{{"label", settings_.label}, {"term", term}}, leaseId_});
@@ -165,6 +172,7 @@
 void Leadership::onCampaignAnswer(const wire::CallResult& result, std::uint64_t term, Time sentAt,
                                   PartitionId includedPartitions) {
   if (!result.ok()) {
+    report(CampaignRefused{term, result.status});
     // The lease can have expired while this controller waited. The transaction respects every limit, so only
     // an expired lease can cause a bad request. If no answer came, the feed shows which controller leads.
     if (result.status == http::kBadRequest) leaseId_ = 0;
--- a/src/cluster/leadership.hpp
+++ b/src/cluster/leadership.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <random>
 
+#include "cluster/election_events.hpp"
 #include "cluster/partitions.hpp"
 #include "state/feed.hpp"
 
@@ -31,7 +32,7 @@
   // transaction of the election. leading: it leads until the lease is lost. refusing: the stored records have
   // a layout that this version cannot read, so it must not lead.
   enum class State { observing, waiting, leasing, campaigning, acquiring, leading, refusing };
-  // Callbacks on changes of leadership; all are required.
+  // Callbacks on changes of leadership. All are required, but for `observed`.
   struct Handlers {
     // This controller leads and has acquired all partitions; the revisions are ordered by partition id.
     std::function<void(std::uint64_t term, const std::vector<std::uint64_t>& partitionRevisions)> elected;
@@ -39,6 +40,8 @@
     std::function<void(const char* reason)> deposed;
     // The stored records have a layout that this version cannot read.
     std::function<void(std::uint64_t layout)> layoutUnsupported;
+    // Called with each event of an election, for the log.
+    std::function<void(const ElectionEvent& event)> observed = {};
   };
 
   // `seed` seeds the random jitter before a campaign, which keeps controllers from campaigning at the same
@@ -73,6 +76,7 @@
 
  private:
   void transitionTo(State next) { state_ = next; }
+  void report(const ElectionEvent& event) const;
   void onEntry(const std::string& key, const Json* value, std::uint64_t revision);
   void onCaughtUp();
   bool hasOtherLeader() const;
--- a/src/service/controller.cpp
+++ b/src/service/controller.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "service/election_log.hpp"
 #include "service/request_router.hpp"
 
 namespace reachhoist::service {
@@ -63,13 +64,14 @@
   };
   const auto deposed = [this](const char* reason) {
     pendingLeadershipChange_ = LeadershipChange{};
-    context_.logEvent(LogLevel::info, "deposed", {{"why", reason}});
+    context_.logEvent(LogLevel::info, "deposed", {{"why", reason}, {"known_term", leadership_.term()}});
   };
   const auto layoutUnsupported = [this](std::uint64_t layout) {
     context_.logEvent(LogLevel::error, "layout_unsupported",
                       {{"found", layout}, {"readable", constants::kRecordLayout}});
   };
-  return {elected, deposed, layoutUnsupported};
+  const auto observed = [this](const cluster::ElectionEvent& event) { logElectionEvent(context_, event); };
+  return {elected, deposed, layoutUnsupported, observed};
 }
 
 void Controller::onJobRecord(const std::string& key, const Json* value, std::uint64_t revision) {
