--- a/src/cluster/leadership.cpp
+++ b/src/cluster/leadership.cpp
@@ -47,13 +47,13 @@
     }
   }
   if (state_ == State::acquiring && !acquireInFlight_ && now >= retryAcquireAt_) acquirePartitions();
-  if ((state_ == State::leading || state_ == State::acquiring) && !renewInFlight_ && now >= nextRenewAt_)
-    renew();
+  if (isElected() && !renewInFlight_ && now >= nextRenewAt_) renew();
 }
 
 std::optional<ConditionalWrite> Leadership::layoutRaisingWrite() const {
-  if (layoutRaised() || termRevision_ == 0 || term_ == 0) return std::nullopt;
-  return ConditionalWrite{{kTermKey, termRevision_}, termWrite(term_, constants::kRecordLayoutWithGangs)};
+  if (layoutRaised() || termRecord_.revision == 0 || termRecord_.term == 0) return std::nullopt;
+  return ConditionalWrite{{kTermKey, termRecord_.revision},
+                          termWrite(termRecord_.term, constants::kRecordLayoutWithGangs)};
 }
 
 bool Leadership::hasOtherLeader() const { return !leader_.empty() && leader_ != settings_.label; }
@@ -76,16 +76,21 @@
     leaderRevision_ = value != nullptr ? revision : 0;
     report(LeaderObserved{leader_, revision});
   } else if (key == kTermKey && value != nullptr) {
-    termRevision_ = revision;
-    const auto term = wire::countField(*value, "term").value_or(0);
-    if (state_ != State::leading && state_ != State::acquiring) term_ = std::max(term_, term);
-    report(TermObserved{term, revision, term_});
+    adoptTermRecord({wire::countField(*value, "term").value_or(0), revision});
+    report(TermObserved{termRecord_.term, revision, highestTerm_});
     if (const auto count = wire::countField(*value, "parts"); count && *count > 0)
       partitionCount_ = static_cast<unsigned>(*count);
     checkLayout(wire::countField(*value, "layout").value_or(1));
   }
 }
 
+// The record is adopted also while this controller leads: the next election counts from it, whichever of the
+// feed and the renewal of the lease first shows that this controller has been deposed.
+void Leadership::adoptTermRecord(TermRecord record) {
+  termRecord_ = record;
+  highestTerm_ = std::max(highestTerm_, record.term);
+}
+
 void Leadership::checkLayout(std::uint64_t layout) {
   if (layout == constants::kRecordLayout || layout == constants::kRecordLayoutWithGangs) {
     layout_ = std::max(layout_, layout);
@@ -150,11 +155,11 @@
 
 void Leadership::campaign() {
   transitionTo(State::campaigning);
-  const std::uint64_t term = term_ + 1;
+  const std::uint64_t term = highestTerm_ + 1;
   const Time sentAt = now_;
-  report(CampaignStarted{term, leaderRevision_, termRevision_});
+  report(CampaignStarted{term, leaderRevision_, termRecord_.revision});
   state::Transaction transaction;
-  transaction.conditions = {{kLeaderKey, leaderRevision_}, {kTermKey, termRevision_}};
+  transaction.conditions = {{kLeaderKey, leaderRevision_}, {kTermKey, termRecord_.revision}};
   transaction.writes.push_back({kLeaderKey, Json{{"label", settings_.label}, {"term", term}}, leaseId_});
   transaction.writes.push_back(termWrite(term, layout_));
   const bool allPartitionsFit =
@@ -179,10 +184,10 @@
     return scheduleRetry();
   }
   ownLeaderRevision_ = state::appliedRevision(result);
-  term_ = term;
+  ownTerm_ = term;
   leader_ = settings_.label;
   leaderRevision_ = ownLeaderRevision_;
-  termRevision_ = ownLeaderRevision_;
+  adoptTermRecord({term, ownLeaderRevision_});
   confirmedAt_ = sentAt;
   nextRenewAt_ = now_ + constants::kLeaderRenewInterval;
   client_.setLeading(true);
@@ -197,7 +202,7 @@
 void Leadership::acquirePartitions() {
   if (partitionRevisions_.size() >= partitionCount_) {
     transitionTo(State::leading);
-    handlers_.elected(term_, partitionRevisions_);
+    handlers_.elected(ownTerm_, partitionRevisions_);
     return;
   }
   acquireInFlight_ = true;
@@ -207,11 +212,11 @@
   state::Transaction transaction;
   transaction.conditions = {{kTermKey, ownLeaderRevision_}};
   for (PartitionId partition = begin; partition < end; ++partition)
-    transaction.writes.push_back(partitionWrite(partition, term_));
+    transaction.writes.push_back(partitionWrite(partition, ownTerm_));
   client_.transact(now_, state::Urgency::lease, transaction,
-                   [this, end, term = term_](const wire::CallResult& result) {
+                   [this, end, term = ownTerm_](const wire::CallResult& result) {
                      acquireInFlight_ = false;
-                     if (state_ == State::acquiring && term == term_) onAcquireAnswer(result, end);
+                     if (state_ == State::acquiring && term == ownTerm_) onAcquireAnswer(result, end);
                    });
 }
 
@@ -238,8 +243,7 @@
   const Time sentAt = now_;
   client_.renewLease(now_, leaseId_, [this, sentAt, leaseId = leaseId_](const wire::CallResult& result) {
     renewInFlight_ = false;
-    if ((state_ == State::leading || state_ == State::acquiring) && leaseId == leaseId_)
-      onRenewed(result, sentAt);
+    if (isElected() && leaseId == leaseId_) onRenewed(result, sentAt);
   });
 }
 
--- a/src/cluster/leadership.hpp
+++ b/src/cluster/leadership.hpp
@@ -61,8 +61,8 @@
 
   // Returns whether this controller leads and has acquired every partition.
   bool isLeading() const { return state_ == State::leading; }
-  // Returns the highest known term, which is this controller's own while it leads.
-  std::uint64_t term() const { return term_; }
+  // Returns this controller's own term while it leads, and otherwise the highest known term.
+  std::uint64_t term() const { return isElected() ? ownTerm_ : highestTerm_; }
   // Returns the label of the leader in the last received record; empty if there is none.
   const std::string& leader() const { return leader_; }
   // Returns whether the stored layout is already the one with gangs.
@@ -75,9 +75,19 @@
   Time confirmedAt() const { return confirmedAt_; }
 
  private:
+  // The stored record of the term, as last read or written. A transaction that replaces the record is
+  // conditioned on `revision`, so what it writes must follow from the `term` of that same version.
+  struct TermRecord {
+    std::uint64_t term = 0;
+    std::uint64_t revision = 0;  // 0 if no record is known
+  };
+
   void transitionTo(State next) { state_ = next; }
+  // Returns whether this controller has won an election and has not been deposed since.
+  bool isElected() const { return state_ == State::leading || state_ == State::acquiring; }
   void report(const ElectionEvent& event) const;
   void onEntry(const std::string& key, const Json* value, std::uint64_t revision);
+  void adoptTermRecord(TermRecord record);
   void onCaughtUp();
   bool hasOtherLeader() const;
   state::Write termWrite(std::uint64_t term, std::uint64_t layout) const;
@@ -114,8 +124,9 @@
   bool renewInFlight_ = false;
   std::string leader_;
   std::uint64_t leaderRevision_ = 0;
-  std::uint64_t termRevision_ = 0;
-  std::uint64_t term_ = 0;               // the highest known term
+  TermRecord termRecord_;
+  std::uint64_t highestTerm_ = 0;        // the highest term that any version of the record has had
+  std::uint64_t ownTerm_ = 0;            // the term of this controller's last election
   std::uint64_t ownLeaderRevision_ = 0;  // mod revision of this controller's last write of the leader key
   unsigned partitionCount_ = 1;
   std::uint64_t layout_ = constants::kRecordLayout;
--- a/tests/standin/checker.cpp
+++ b/tests/standin/checker.cpp
@@ -162,6 +162,21 @@
   if (completed) completedTasks_.insert(task);
 }
 
+void Checker::onElected(double atS, const std::string& label, std::uint64_t term) {
+  if (term <= electedTerm_)
+    recordViolation(atS, "term_reused",
+                    label + " was elected under term " + std::to_string(term) + " after term " +
+                        std::to_string(electedTerm_));
+  electedTerm_ = std::max(electedTerm_, term);
+}
+
+void Checker::onTermStored(double atS, std::uint64_t term) {
+  if (term < storedTerm_)
+    recordViolation(atS, "term_lowered",
+                    "the stored term " + std::to_string(storedTerm_) + " became " + std::to_string(term));
+  storedTerm_ = term;
+}
+
 void Checker::tick(double atS) {
   if (faultsEndedAtS_ >= 0) checkAnsweredAfterFaults(atS);
   checkCancelledHaveEnded(atS);
--- a/tests/standin/checker.hpp
+++ b/tests/standin/checker.hpp
@@ -1,5 +1,6 @@
-// Checks the nine rules of the protocol on every step of a simulated world. Two more rules are that invalid
-// submissions are refused and that no runnable job waits for long.
+// Checks the nine rules of the protocol on every step of a simulated world. Further rules are that invalid
+// submissions are refused, that no runnable job waits for long, that no term is used twice and that the
+// stored term never decreases.
 #pragma once
 
 #include <map>
@@ -41,6 +42,12 @@
   // its quota.
   void reportRunnable(double atS, const std::string& ref, bool isRunnable);
 
+  // --- elections
+  // A controller has been elected under this term.
+  void onElected(double atS, const std::string& label, std::uint64_t term);
+  // The stored record of the term has been written.
+  void onTermStored(double atS, std::uint64_t term);
+
   // --- time
   // Checks the rules with a time limit.
   void tick(double atS);
@@ -102,6 +109,8 @@
   std::size_t startsAfterCancel_ = 0;
   std::set<std::string> invalid_;
   std::map<std::string, double> runnableSinceS_;  // by job
+  std::uint64_t electedTerm_ = 0;                 // of the last election
+  std::uint64_t storedTerm_ = 0;
   std::vector<std::string> violations_;
 };
 
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -87,6 +87,8 @@
 
  private:
   void checkRegularly();
+  // Passes a write of the keys of elections to the checker.
+  void checkElectionWrite(const std::string& key);
 
   WaitingJobsMonitor waitingJobsMonitor_;
 };
--- a/tests/unit/checker_test.cpp
+++ b/tests/unit/checker_test.cpp
@@ -108,6 +108,23 @@
   expectViolationBetween(44, 45.5, "ran_cancelled");
 }
 
+TEST_F(CheckerTest, ReportsTermThatIsUsedTwice) {
+  checker.onElected(2, "hoist-0", 1);
+  checker.onElected(3, "hoist-1", 2);
+  EXPECT_TRUE(checker.violations().empty());
+  checker.onElected(4, "hoist-0", 2);
+  expectViolation("term_reused");
+}
+
+// Raising the layout writes the record of the term without a new term.
+TEST_F(CheckerTest, ReportsStoredTermThatDecreases) {
+  checker.onTermStored(2, 2);
+  checker.onTermStored(3, 2);
+  EXPECT_TRUE(checker.violations().empty());
+  checker.onTermStored(4, 1);
+  expectViolation("term_lowered");
+}
+
 TEST_F(CheckerTest, ReportsAcceptedJobAnsweredWithNotFound) {
   checker.onPollAnswered(3, "job-1", 404, "");
   expectViolation("forgotten");
