--- a/src/cluster/election_events.hpp
+++ b/src/cluster/election_events.hpp
@@ -31,6 +31,13 @@
   int status = 0;  // 0 if no answer arrived
 };
 
-using ElectionEvent = std::variant<LeaderObserved, TermObserved, CampaignStarted, CampaignRefused>;
+// The answer to a campaign arrived after the leadership that it granted had been lost.
+struct CampaignSuperseded {
+  std::uint64_t term = 0;
+  std::uint64_t revision = 0;  // at which the election was applied
+};
+
+using ElectionEvent =
+    std::variant<LeaderObserved, TermObserved, CampaignStarted, CampaignRefused, CampaignSuperseded>;
 
 }  // namespace reachhoist::cluster
--- a/src/cluster/leadership.cpp
+++ b/src/cluster/leadership.cpp
@@ -19,11 +19,7 @@
             {[this](const auto& key, const Json* value, std::uint64_t revision) {
                onEntry(key, value, revision);
              },
-             [this] {
-               leader_.clear();
-               leaderRevision_ = 0;
-             },
-             [this] { onCaughtUp(); }}),
+             [this](std::uint64_t revision) { records_.beginListing(revision); }, [this] { onCaughtUp(); }}),
       jitterRandom_(seed),
       partitionCount_(std::max(settings.initialPartitions, 1U)) {}
 
@@ -51,12 +47,12 @@
 }
 
 std::optional<ConditionalWrite> Leadership::layoutRaisingWrite() const {
-  if (layoutRaised() || termRecord_.revision == 0 || termRecord_.term == 0) return std::nullopt;
-  return ConditionalWrite{{kTermKey, termRecord_.revision},
-                          termWrite(termRecord_.term, constants::kRecordLayoutWithGangs)};
+  if (layoutRaised() || records_.termRevision() == 0 || records_.storedTerm() == 0) return std::nullopt;
+  return ConditionalWrite{{kTermKey, records_.termRevision()},
+                          termWrite(records_.storedTerm(), constants::kRecordLayoutWithGangs)};
 }
 
-bool Leadership::hasOtherLeader() const { return !leader_.empty() && leader_ != settings_.label; }
+bool Leadership::hasOtherLeader() const { return !leader().empty() && leader() != settings_.label; }
 
 state::Write Leadership::termWrite(std::uint64_t term, std::uint64_t layout) const {
   return {kTermKey, Json{{"term", term}, {"parts", partitionCount_}, {"layout", layout}}, std::nullopt};
@@ -71,24 +67,27 @@
 }
 
 void Leadership::onEntry(const std::string& key, const Json* value, std::uint64_t revision) {
-  if (key == kLeaderKey) {
-    leader_ = value != nullptr ? wire::textField(*value, "label").value_or("") : "";
-    leaderRevision_ = value != nullptr ? revision : 0;
-    report(LeaderObserved{leader_, revision});
-  } else if (key == kTermKey && value != nullptr) {
-    adoptTermRecord({wire::countField(*value, "term").value_or(0), revision});
-    report(TermObserved{termRecord_.term, revision, highestTerm_});
-    if (const auto count = wire::countField(*value, "parts"); count && *count > 0)
-      partitionCount_ = static_cast<unsigned>(*count);
-    checkLayout(wire::countField(*value, "layout").value_or(1));
+  if (key == kLeaderKey) onLeaderRecord(value, revision);
+  if (key == kTermKey && value != nullptr) onTermRecord(*value, revision);
+}
+
+void Leadership::onLeaderRecord(const Json* value, std::uint64_t revision) {
+  if (value == nullptr) {
+    records_.adoptLeaderDeletion(revision);
+    return report(LeaderObserved{"", revision});
   }
+  const std::string label = wire::textField(*value, "label").value_or("");
+  records_.adoptLeader(label, revision);
+  report(LeaderObserved{label, revision});
 }
 
-// The record is adopted also while this controller leads: the next election counts from it, whichever of the
-// feed and the renewal of the lease first shows that this controller has been deposed.
-void Leadership::adoptTermRecord(TermRecord record) {
-  termRecord_ = record;
-  highestTerm_ = std::max(highestTerm_, record.term);
+void Leadership::onTermRecord(const Json& value, std::uint64_t revision) {
+  const std::uint64_t term = wire::countField(value, "term").value_or(0);
+  records_.adoptTerm(term, revision);
+  report(TermObserved{term, revision, records_.highestTerm()});
+  if (const auto count = wire::countField(value, "parts"); count && *count > 0)
+    partitionCount_ = static_cast<unsigned>(*count);
+  checkLayout(wire::countField(value, "layout").value_or(1));
 }
 
 void Leadership::checkLayout(std::uint64_t layout) {
@@ -105,19 +104,22 @@
   handlers_.layoutUnsupported(layout);
 }
 
+// The feed can lag behind this controller's own election, so only newer revisions count.
+bool Leadership::isDeposedByRecord() const {
+  return records_.leaderRevision() > ownLeaderRevision_ && leader() != settings_.label;
+}
+
 void Leadership::onCaughtUp() {
   if (state_ == State::refusing) return;
   if (state_ == State::leading) {
-    // The feed can lag behind this controller's own election, so only newer revisions count.
-    if (leaderRevision_ > ownLeaderRevision_ && leader_ != settings_.label)
-      depose("another controller leads");
+    if (isDeposedByRecord()) depose("another controller leads");
     return;
   }
-  if (state_ == State::acquiring && leaderRevision_ > ownLeaderRevision_ && leader_ != settings_.label) {
+  if (state_ == State::acquiring && isDeposedByRecord()) {
     leaseId_ = 0;
     return abandonAcquisition();
   }
-  if (state_ == State::observing && (leader_.empty() || leader_ == settings_.label)) {
+  if (state_ == State::observing && !hasOtherLeader()) {
     // This controller's own label remains from an earlier run, so it need not wait for that lease to expire.
     scheduleAttempt();
   } else if (state_ == State::waiting && hasOtherLeader()) {
@@ -155,11 +157,11 @@
 
 void Leadership::campaign() {
   transitionTo(State::campaigning);
-  const std::uint64_t term = highestTerm_ + 1;
+  const std::uint64_t term = records_.highestTerm() + 1;
   const Time sentAt = now_;
-  report(CampaignStarted{term, leaderRevision_, termRecord_.revision});
+  report(CampaignStarted{term, records_.leaderRevision(), records_.termRevision()});
   state::Transaction transaction;
-  transaction.conditions = {{kLeaderKey, leaderRevision_}, {kTermKey, termRecord_.revision}};
+  transaction.conditions = {{kLeaderKey, records_.leaderRevision()}, {kTermKey, records_.termRevision()}};
   transaction.writes.push_back({kLeaderKey, Json{{"label", settings_.label}, {"term", term}}, leaseId_});
   transaction.writes.push_back(termWrite(term, layout_));
   const bool allPartitionsFit =
@@ -183,11 +185,15 @@
     if (result.status == http::kBadRequest) leaseId_ = 0;
     return scheduleRetry();
   }
-  ownLeaderRevision_ = state::appliedRevision(result);
+  const std::uint64_t revision = state::appliedRevision(result);
+  const auto election = records_.adoptOwnElection(settings_.label, term, revision);
+  if (election == ElectionRecords::OwnElection::superseded) {
+    report(CampaignSuperseded{term, revision});
+    leaseId_ = 0;
+    return scheduleRetry();
+  }
+  ownLeaderRevision_ = revision;
   ownTerm_ = term;
-  leader_ = settings_.label;
-  leaderRevision_ = ownLeaderRevision_;
-  adoptTermRecord({term, ownLeaderRevision_});
   confirmedAt_ = sentAt;
   nextRenewAt_ = now_ + constants::kLeaderRenewInterval;
   client_.setLeading(true);
--- a/src/cluster/leadership.hpp
+++ b/src/cluster/leadership.hpp
@@ -6,6 +6,7 @@
 #include <random>
 
 #include "cluster/election_events.hpp"
+#include "cluster/election_records.hpp"
 #include "cluster/partitions.hpp"
 #include "state/feed.hpp"
 
@@ -62,9 +63,9 @@
   // Returns whether this controller leads and has acquired every partition.
   bool isLeading() const { return state_ == State::leading; }
   // Returns this controller's own term while it leads, and otherwise the highest known term.
-  std::uint64_t term() const { return isElected() ? ownTerm_ : highestTerm_; }
+  std::uint64_t term() const { return isElected() ? ownTerm_ : records_.highestTerm(); }
   // Returns the label of the leader in the last received record; empty if there is none.
-  const std::string& leader() const { return leader_; }
+  const std::string& leader() const { return records_.leader(); }
   // Returns whether the stored layout is already the one with gangs.
   bool layoutRaised() const { return layout_ >= constants::kRecordLayoutWithGangs; }
   // Returns the write that raises the stored layout, after which no version that cannot read the layout
@@ -75,21 +76,17 @@
   Time confirmedAt() const { return confirmedAt_; }
 
  private:
-  // The stored record of the term, as last read or written. A transaction that replaces the record is
-  // conditioned on `revision`, so what it writes must follow from the `term` of that same version.
-  struct TermRecord {
-    std::uint64_t term = 0;
-    std::uint64_t revision = 0;  // 0 if no record is known
-  };
-
   void transitionTo(State next) { state_ = next; }
   // Returns whether this controller has won an election and has not been deposed since.
   bool isElected() const { return state_ == State::leading || state_ == State::acquiring; }
   void report(const ElectionEvent& event) const;
   void onEntry(const std::string& key, const Json* value, std::uint64_t revision);
-  void adoptTermRecord(TermRecord record);
+  void onLeaderRecord(const Json* value, std::uint64_t revision);
+  void onTermRecord(const Json& value, std::uint64_t revision);
   void onCaughtUp();
   bool hasOtherLeader() const;
+  // Returns whether the leader record shows that another controller leads since this one's election.
+  bool isDeposedByRecord() const;
   state::Write termWrite(std::uint64_t term, std::uint64_t layout) const;
   state::Write partitionWrite(PartitionId partition, std::uint64_t term) const;
   void requestLease();
@@ -122,10 +119,7 @@
   Time nextRenewAt_{};
   Time confirmedAt_{};
   bool renewInFlight_ = false;
-  std::string leader_;
-  std::uint64_t leaderRevision_ = 0;
-  TermRecord termRecord_;
-  std::uint64_t highestTerm_ = 0;        // the highest term that any version of the record has had
+  ElectionRecords records_;
   std::uint64_t ownTerm_ = 0;            // the term of this controller's last election
   std::uint64_t ownLeaderRevision_ = 0;  // mod revision of this controller's last write of the leader key
   unsigned partitionCount_ = 1;
--- a/src/service/election_log.cpp
+++ b/src/service/election_log.cpp
@@ -25,6 +25,10 @@
   void operator()(const cluster::CampaignRefused& event) const {
     context.logEvent(LogLevel::info, "campaign_refused", {{"term", event.term}, {"status", event.status}});
   }
+  void operator()(const cluster::CampaignSuperseded& event) const {
+    context.logEvent(LogLevel::info, "campaign_superseded",
+                     {{"term", event.term}, {"revision", event.revision}});
+  }
 };
 
 }  // namespace
--- a/src/state/feed.cpp
+++ b/src/state/feed.cpp
@@ -48,7 +48,7 @@
   if (atFirstPage_) {
     // Changes during the listing are replayed from the first page's revision on.
     revision_ = page->revision;
-    if (handlers_.onListingStart) handlers_.onListingStart();
+    if (handlers_.onListingStart) handlers_.onListingStart(page->revision);
   }
   atFirstPage_ = false;
   for (const KeyValue& entry : page->entries) {
--- a/src/state/feed.hpp
+++ b/src/state/feed.hpp
@@ -20,7 +20,8 @@
   struct Handlers {
     // Called with each listed or changed key. The value is null if the key was deleted.
     std::function<void(const std::string& key, const Json* value, std::uint64_t revision)> onEntry;
-    std::function<void()> onListingStart;
+    // Called before the entries of a listing, with the store's revision that the listing starts from.
+    std::function<void(std::uint64_t revision)> onListingStart;
     // Called after a listing, and after each batch of changes.
     std::function<void()> onCaughtUp;
   };
--- a/tests/unit/leadership_test.cpp
+++ b/tests/unit/leadership_test.cpp
@@ -199,6 +199,82 @@
   EXPECT_EQ((*raising->write.value)["layout"], constants::kRecordLayoutWithGangs);
 }
 
+// Regression: the answer to a campaign can arrive after the watch has shown what became of that election. It
+// replaced the newer records, so that every later campaign failed on their revisions, and a controller
+// without siblings never led again.
+class LateCampaignAnswer : public testing::Test {
+ protected:
+  void SetUp() override {
+    candidate.leadership->start(at(0));
+    campaign = candidate.answerUntil("/multi", electionListing(constants::kRecordLayout));
+    ASSERT_TRUE(campaign);
+  }
+  void deliverOwnElection() { candidate.deliverChanges(Candidate::electionOf("hoist-0", 5, 20), 20); }
+  void answerCampaign() {
+    candidate.calls.complete(campaign->number, wire::CallResult{200, true, Json{{"ledger", 20}}});
+  }
+  void expectNextCampaign(std::uint64_t term, std::uint64_t leaderRevision, std::uint64_t termRevision) {
+    const auto next = candidate.answerUntil("/multi", {});
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->body["apply"][1]["value"]["term"], term);
+    EXPECT_EQ(next->body["if"][0], (Json{{"key", "leader"}, {"stamp", leaderRevision}}));
+    EXPECT_EQ(next->body["if"][1], (Json{{"key", "leader-term"}, {"stamp", termRevision}}));
+  }
+  Candidate candidate{5, 12};
+  std::optional<wire::Call> campaign;
+};
+
+TEST_F(LateCampaignAnswer, DoesNotBringBackALostLeadership) {
+  deliverOwnElection();
+  candidate.deliverChanges(Json::array({Json{{"delete", "leader"}, {"stamp", 24}}}), 24);
+  answerCampaign();
+  EXPECT_FALSE(candidate.leadership->isLeading());
+  expectNextCampaign(6, 0, 20);
+}
+
+TEST_F(LateCampaignAnswer, DoesNotHideASuccessor) {
+  deliverOwnElection();
+  candidate.deliverChanges(Candidate::electionOf("hoist-1", 6, 26), 26);
+  answerCampaign();
+  EXPECT_FALSE(candidate.leadership->isLeading());
+  EXPECT_EQ(candidate.leadership->leader(), "hoist-1");
+  EXPECT_FALSE(candidate.answerUntil("/multi", {}));
+  candidate.deliverChanges(Json::array({Json{{"delete", "leader"}, {"stamp", 31}}}), 31);
+  expectNextCampaign(7, 0, 26);
+}
+
+// Another controller raises the layout, which is in the record of the term.
+TEST_F(LateCampaignAnswer, DoesNotHideALaterVersionOfTheTermRecord) {
+  deliverOwnElection();
+  const Json raised{{"term", 5}, {"parts", 5}, {"layout", constants::kRecordLayoutWithGangs}};
+  candidate.deliverChanges(Json::array({Json{{"write", "leader-term"}, {"value", raised}, {"stamp", 22}}}),
+                           22);
+  answerCampaign();
+  EXPECT_TRUE(candidate.leadership->isLeading());
+  const auto renewal = candidate.answerUntil("/leases/7/touch", {});
+  ASSERT_TRUE(renewal);
+  candidate.calls.complete(renewal->number, wire::CallResult{404, true, Json::object()});
+  EXPECT_FALSE(candidate.leadership->isLeading());
+  candidate.deliverChanges(Json::array({Json{{"delete", "leader"}, {"stamp", 24}}}), 24);
+  expectNextCampaign(6, 0, 22);
+}
+
+// The listing is later than the election and shows that there is no leader any more.
+TEST_F(LateCampaignAnswer, DoesNotOutweighALaterListing) {
+  deliverOwnElection();
+  candidate.answerUntil("/none", {});
+  candidate.calls.complete(std::exchange(candidate.openWatch, 0),
+                           wire::CallResult{410, true, Json::object()});
+  Json listing = electionListing(constants::kRecordLayout);
+  listing["pairs"][0]["value"]["term"] = 5;
+  listing["pairs"][0]["stamp"] = 20;
+  listing["ledger"] = 30;
+  candidate.answerUntil("/none", listing);
+  answerCampaign();
+  EXPECT_FALSE(candidate.leadership->isLeading());
+  expectNextCampaign(6, 0, 20);
+}
+
 // An earlier version could write a lower term, when it raised the layout.
 TEST_P(DeposedByTheWatch, CampaignsAboveTheHighestTermOfTheRecord) {
   ASSERT_NO_FATAL_FAILURE(elect());
