--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,7 +5,7 @@
 RUN_COMMAND=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/service.toml)
 TMPDIR=$(mktemp -d) || exit 2
 export RUN_COMMAND TMPDIR LOG_LEVEL=info
-timeout -k 1 118 target/review-2/avoided_machine review/5
+timeout -k 1 118 target/review-2/repeated_start review/5
 status=$?
 rm -rf "$TMPDIR"
 [ "$status" -le 2 ] || status=2
--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -543,6 +543,8 @@
   std::vector<std::pair<std::string, std::uint16_t>> controllers;  // label, port that workers use
   Timing timing;
   std::function<void(const TaskEvent&)> onTask = [](const TaskEvent&) {};
+  // What stands between controllers and a worker: takes the worker's port, returns the one to connect to.
+  std::function<std::uint16_t(const std::string& host, std::uint16_t port)> workerVia;
 };
 
 class Worker {
@@ -568,7 +570,8 @@
 
   // The endpoint is known from the rental on; the worker serves it once it is up.
   void rent() {
-    endpoint_ = endpointOf(serve([this](const Message& request) { return direct(request); }));
+    const std::uint16_t port = serve([this](const Message& request) { return direct(request); });
+    endpoint_ = endpointOf(shared_.workerVia ? shared_.workerVia(name_, port) : port);
   }
   void start() {
     const std::lock_guard lock(shared_.mutex);
@@ -583,6 +586,9 @@
       if (entry.task == task && (entry.stage == "running" || entry.stage == "saving")) return true;
     return false;
   }
+  bool lists(const std::string& task) const {
+    return std::any_of(tasks_.begin(), tasks_.end(), [&](const Task& entry) { return entry.task == task; });
+  }
   double usedCpus() const {
     double used = 0;
     for (const Task& entry : tasks_)
