--- a/review/standin-2/stuck_leader.cpp
+++ b/review/standin-2/stuck_leader.cpp
@@ -88,7 +88,8 @@
   const auto look = [&] {
     for (const auto& controller : world.controllers.all) {
       if (!world.controllers.isRunning(controller.label)) finish(world, 2);
-      if (world.healthy(controller.label)) {
+      // Any answer counts, also a 503.
+      if (callOnce(controller.port, "GET", "/healthz", Json(), 1).status != 0) {
         silentSince.erase(controller.label);
       } else if (silentSince.emplace(controller.label, now()).second) {
         record.line("%s does not answer on /healthz", controller.label.c_str());
