--- a/src/service/controller.cpp
+++ b/src/service/controller.cpp
@@ -225,7 +225,10 @@
     const auto answer = leader->onHeartbeat(*heartbeat, HeartbeatSource::siblingRelay);
     if (context_.isLogged(LogLevel::debug))
       context_.logEvent(LogLevel::debug, "relayed",
-                        {{"machine", heartbeat->host.text}, {"through", from}, {"status", answer.status}});
+                        {{"machine", heartbeat->host.text},
+                         {"through", from},
+                         {"number", request.number},
+                         {"status", answer.status}});
     response.status = answer.status;
     if (answer.status == http::kOk) response.body = wire::encodeBody(answer.body);
   }
--- a/src/service/heartbeat_relay.cpp
+++ b/src/service/heartbeat_relay.cpp
@@ -13,7 +13,8 @@
   if (leader.empty() || leader == settings.label || settings.sibling(leader) == nullptr)
     return context_.replyTryAgain(request);
   WorkerRoute& route = routeOf(heartbeat.host.text, leader);
-  if (cannotReachLeader(route, heartbeat) && !mustRetryDirectPath(route)) return relay(request, route, body);
+  if (cannotReachLeader(route, heartbeat) && !mustRetryDirectPath(route))
+    return relay(request, heartbeat.host.text, route, body);
   redirect(request, route);
 }
 
@@ -37,13 +38,15 @@
   return route.relayedSince != Time{} && context_.now - route.relayedSince > constants::kMaxRelayDuration;
 }
 
-void HeartbeatRelay::relay(std::uint64_t request, WorkerRoute& route, const std::string& body) {
+void HeartbeatRelay::relay(std::uint64_t request, const std::string& host, WorkerRoute& route,
+                           const std::string& body) {
   // Without a link to the leader this controller cannot relay, but the controller that the worker tries next
   // can have one. After a redirect to the leader the worker would only return to this controller.
   if (!siblings_.isReachable(route.leader)) return context_.replyTryAgain(request);
   if (route.relayedSince == Time{}) route.relayedSince = context_.now;
   const std::uint64_t number = nextRelayNumber_++;
-  pendingRelays_[number] = PendingRelay{request, context_.now + constants::kRelayTimeout};
+  pendingRelays_[number] = PendingRelay{request, host, context_.now + constants::kRelayTimeout};
+  logRelay("relay_sent", number, host);
   context_.sendTo(route.leader, peer::RelayRequest{number, body});
 }
 
@@ -55,7 +58,9 @@
 
 void HeartbeatRelay::onResponse(const peer::RelayResponse& response) {
   const auto found = pendingRelays_.find(response.number);
-  if (found == pendingRelays_.end()) return;
+  if (found == pendingRelays_.end())
+    return context_.logEvent(LogLevel::info, "relay_answer_dropped", {{"number", response.number}});
+  logRelay("relay_answered", response.number, found->second.host);
   const std::uint64_t request = found->second.request;
   pendingRelays_.erase(found);
   const auto body = wire::decodeBody(response.body);
@@ -63,6 +68,11 @@
   context_.reply(request, http::kOk, *body);
 }
 
+void HeartbeatRelay::logRelay(std::string_view event, std::uint64_t number, const std::string& host) const {
+  if (!context_.isLogged(LogLevel::debug)) return;
+  context_.logEvent(LogLevel::debug, event, {{"machine", host}, {"number", number}});
+}
+
 void HeartbeatRelay::tick() {
   std::erase_if(routes_, [this](const auto& entry) {
     return context_.now - entry.second.lastHeartbeatAt > 2 * constants::kMaxRelayDuration;
--- a/src/service/heartbeat_relay.hpp
+++ b/src/service/heartbeat_relay.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <string_view>
 
 #include "cluster/leadership.hpp"
 #include "service/context.hpp"
@@ -39,14 +40,16 @@
   // A relayed heartbeat that the leader has not answered yet.
   struct PendingRelay {
     std::uint64_t request = 0;
+    std::string host;  // of the worker
     Time deadline{};
   };
 
   WorkerRoute& routeOf(const std::string& host, const std::string& leader);
   bool cannotReachLeader(const WorkerRoute& route, const wire::WorkerHeartbeat& heartbeat) const;
   bool mustRetryDirectPath(const WorkerRoute& route) const;
-  void relay(std::uint64_t request, WorkerRoute& route, const std::string& body);
+  void relay(std::uint64_t request, const std::string& host, WorkerRoute& route, const std::string& body);
   void redirect(std::uint64_t request, WorkerRoute& route);
+  void logRelay(std::string_view event, std::uint64_t number, const std::string& host) const;
   void expirePendingRelays();
 
   Context& context_;
--- a/src/service/leader/heartbeat_processor.cpp
+++ b/src/service/leader/heartbeat_processor.cpp
@@ -35,8 +35,8 @@
   machine.contact.unreachable = false;
   machine.contact.lastHeartbeatAt = context_.now;
   machine.contact.leaseRenewedAt = std::max(machine.contact.leaseRenewedAt, context_.now);
-  const auto commands = commands_.takeDueCommands(machine, source, heartbeat.sequence);
-  return HeartbeatResponse{200, wire::encodeCommands(commands_.fencingTokenOf(machine), commands)};
+  const IssuedCommands issued = commands_.issueCommands(machine, source, heartbeat.sequence);
+  return HeartbeatResponse{200, wire::encodeCommands(issued.fencingToken, issued.commands)};
 }
 
 bool HeartbeatProcessor::canAnswer(const wire::WorkerHeartbeat& heartbeat) const {
--- a/src/service/leader/worker_commands.cpp
+++ b/src/service/leader/worker_commands.cpp
@@ -9,6 +9,30 @@
 wire::Command makeCommand(wire::CommandVerb verb, const Attempt& attempt, double gracePeriodS = 0) {
   return wire::Command{verb, attempt.task, attempt.number, gracePeriodS};
 }
+
+const char* verbName(wire::CommandVerb verb) {
+  switch (verb) {
+    case wire::CommandVerb::start:
+      return "start";
+    case wire::CommandVerb::stop:
+      return "stop";
+    case wire::CommandVerb::forget:
+      return "forget";
+  }
+  return "";
+}
+
+const char* pathName(HeartbeatSource source) {
+  switch (source) {
+    case HeartbeatSource::worker:
+      return "answer";
+    case HeartbeatSource::siblingRelay:
+      return "relayed answer";
+    case HeartbeatSource::directCall:
+      return "direct call";
+  }
+  return "";
+}
 }  // namespace
 
 void WorkerCommands::stop(Machine& machine, Attempt& attempt, double gracePeriodS) {
@@ -54,6 +78,27 @@
 
 // --- commands due ------------------------------------------------------------------------------------------
 
+IssuedCommands WorkerCommands::issueCommands(Machine& machine, HeartbeatSource source,
+                                             std::uint64_t sequence) {
+  std::vector<wire::Command> commands = takeDueCommands(machine, source, sequence);
+  IssuedCommands issued{fencingTokenOf(machine), std::move(commands)};
+  logCommands(machine, source, issued);
+  return issued;
+}
+
+void WorkerCommands::logCommands(const Machine& machine, HeartbeatSource source,
+                                 const IssuedCommands& issued) const {
+  if (!context_.isLogged(LogLevel::debug)) return;
+  for (const wire::Command& command : issued.commands)
+    context_.logEvent(LogLevel::debug, "command",
+                      {{"verb", verbName(command.verb)},
+                       {"task", command.task.str()},
+                       {"attempt", command.attempt},
+                       {"machine", machine.host.text},
+                       {"token", issued.fencingToken},
+                       {"by", pathName(source)}});
+}
+
 std::vector<wire::Command> WorkerCommands::takeDueCommands(Machine& machine, HeartbeatSource source,
                                                            std::uint64_t sequence) {
   std::vector<wire::Command> forgetCommands;
@@ -148,12 +193,12 @@
   machine.directCommands.isDue = false;
   if (machine.endpoint.empty() || machine.incarnation == 0 || !state_.canRenewLeases()) return;
   if (machine.phase != MachinePhase::up && machine.phase != MachinePhase::draining) return;
-  DirectCall directCall{machine.host.text, fencingTokenOf(machine), machine.incarnation,
-                        takeDueCommands(machine, HeartbeatSource::directCall, 0)};
-  if (directCall.commands.empty() &&
+  DirectCall directCall{machine.host.text, machine.incarnation,
+                        issueCommands(machine, HeartbeatSource::directCall, 0)};
+  if (directCall.issued.commands.empty() &&
       (machine.contact.tokenAcknowledged || !machine.contact.takeoverProbeSent))
     return;
-  for (const wire::Command& command : directCall.commands)
+  for (const wire::Command& command : directCall.issued.commands)
     if (command.verb == wire::CommandVerb::start)
       ++machine.find(command.task, command.attempt)->directCommandsInFlight;
   machine.directCommands.inFlight = true;
@@ -163,7 +208,7 @@
   call.endpoint = machine.endpoint;
   call.method = "POST";
   call.path = "/commands";
-  call.body = wire::encodeCommands(directCall.fencingToken, directCall.commands);
+  call.body = wire::encodeCommands(directCall.issued.fencingToken, directCall.issued.commands);
   call.body["shift"] = directCall.incarnation;
   call.timeout = constants::kWorkerCallTimeout;
   context_.calls.start(
@@ -187,19 +232,19 @@
 void WorkerCommands::recordStartOutcomes(Machine& machine, const DirectCall& call,
                                          const wire::CallResult& result) {
   const bool canTakeEffect = result.status == 0 && result.sent && machine.incarnation == call.incarnation;
-  for (const wire::Command& command : call.commands) {
+  for (const wire::Command& command : call.issued.commands) {
     if (command.verb != wire::CommandVerb::start) continue;
     Attempt* attempt = machine.find(command.task, command.attempt);
     if (attempt == nullptr) continue;
     --attempt->directCommandsInFlight;
     // The worker can execute the start minutes later, as long as token and incarnation match.
-    if (canTakeEffect) attempt->unresolvedStartToken = call.fencingToken;
+    if (canTakeEffect) attempt->unresolvedStartToken = call.issued.fencingToken;
   }
 }
 
 void WorkerCommands::onNoAnswer(Machine& machine, const DirectCall& call, const wire::CallResult& result) {
   // A new token invalidates the commands as soon as the worker has seen it.
-  if (result.sent && call.fencingToken == fencingTokenOf(machine)) issueFencingToken(machine);
+  if (result.sent && call.issued.fencingToken == fencingTokenOf(machine)) issueFencingToken(machine);
   machine.directCommands.nextSendAt = context_.now + constants::kWorkerCallTimeout;
   context_.logEvent(LogLevel::info, "command_unanswered",
                     {{"machine", call.host}, {"sent", result.sent ? "yes" : "no"}});
--- a/src/service/leader/worker_commands.hpp
+++ b/src/service/leader/worker_commands.hpp
@@ -19,6 +19,12 @@
 // sibling relayed, or in the worker's answer to a direct call.
 enum class HeartbeatSource { worker, siblingRelay, directCall };
 
+// Commands to one machine, with the fencing token under which they are sent.
+struct IssuedCommands {
+  std::uint64_t fencingToken = 0;
+  std::vector<wire::Command> commands;
+};
+
 // Decides which commands are due, adds them to heartbeat answers, and sends the urgent ones in direct calls.
 class WorkerCommands {
  public:
@@ -49,10 +55,9 @@
   void advanceFencingToken(Machine& machine);
   // Updates whether the worker has acknowledged the machine's newest token.
   void updateTokenAcknowledgement(Machine& machine);
-  // Returns all commands due on the machine and records them as sent. `sequence` is the sequence number of
-  // the heartbeat that they answer.
-  std::vector<wire::Command> takeDueCommands(Machine& machine, HeartbeatSource source,
-                                             std::uint64_t sequence);
+  // Returns all commands due on the machine and records them as sent. `source` tells whether they answer a
+  // heartbeat, whose sequence number is `sequence`, or go out in a direct call.
+  IssuedCommands issueCommands(Machine& machine, HeartbeatSource source, std::uint64_t sequence);
   // Sends the requested direct calls, within the limit on calls to workers.
   void sendDirectCommands();
   // Requests direct calls for the forget commands of machines that list too many ended attempts.
@@ -67,11 +72,13 @@
   // The content of a direct call in flight.
   struct DirectCall {
     std::string host;
-    std::uint64_t fencingToken = 0;
     std::uint64_t incarnation = 0;
-    std::vector<wire::Command> commands;
+    IssuedCommands issued;
   };
 
+  // Returns the due commands. Those to forget attempts come first, so that their tasks can start anew.
+  std::vector<wire::Command> takeDueCommands(Machine& machine, HeartbeatSource source,
+                                             std::uint64_t sequence);
   // Returns the command due for the attempt, if any, and records it as sent.
   std::optional<wire::Command> takeDueCommand(Attempt& attempt, HeartbeatSource source,
                                               std::uint64_t sequence);
@@ -79,6 +86,7 @@
                                                    std::uint64_t sequence);
   std::optional<wire::Command> stopOnMachine(Attempt& attempt, HeartbeatSource source);
   std::optional<wire::Command> forgetEnded(const Attempt& attempt);
+  void logCommands(const Machine& machine, HeartbeatSource source, const IssuedCommands& issued) const;
   // Issues a new fencing token, which the worker has yet to acknowledge.
   void issueFencingToken(Machine& machine);
   void sendDirectCommands(Machine& machine);
