--- a/src/service/controller.cpp
+++ b/src/service/controller.cpp
@@ -37,7 +37,7 @@
                minConfirmInterval(settings), jobFeedHandlers()),
       leadership_(context_.state, settings, seed, leadershipHandlers()),
       siblings_(context_, leadership_),
-      heartbeatRelay_(context_, leadership_, siblings_),
+      heartbeatRelay_(context_, leadership_, siblings_, seed),
       progressPublisher_(context_),
       progressReceiver_(jobs_),
       catalogLoader_(context_),
@@ -235,8 +235,8 @@
   context_.sendTo(from, std::move(response));
 }
 
-void Controller::handlePeerPayload(const std::string& /*from*/, const peer::RelayResponse& response) {
-  heartbeatRelay_.onResponse(response);
+void Controller::handlePeerPayload(const std::string& from, const peer::RelayResponse& response) {
+  heartbeatRelay_.onResponse(from, response);
 }
 
 void Controller::handlePeerPayload(const std::string& /*from*/, const peer::Progress& progress) {
--- a/src/service/controller.hpp
+++ b/src/service/controller.hpp
@@ -39,8 +39,8 @@
 // thread-safe.
 class Controller {
  public:
-  // `settings` must outlive the controller. `seed` seeds the random jitter of elections. `sink` receives the
-  // log lines up to `level`.
+  // `settings` must outlive the controller. `seed` seeds the random jitter of elections and the numbers of
+  // relayed heartbeats, and differs from process to process. `sink` receives the log lines up to `level`.
   Controller(const config::Settings& settings, std::uint64_t seed, LogLevel level, Context::LogSink sink);
   Controller(const Controller&) = delete;
 
--- a/src/service/heartbeat_relay.cpp
+++ b/src/service/heartbeat_relay.cpp
@@ -1,10 +1,15 @@
 #include "service/heartbeat_relay.hpp"
 
+#include <random>
+
 namespace reachhoist::service {
 
 HeartbeatRelay::HeartbeatRelay(Context& context, const cluster::Leadership& leadership,
-                               const SiblingMonitor& siblings)
-    : context_(context), leadership_(leadership), siblings_(siblings) {}
+                               const SiblingMonitor& siblings, std::uint64_t seed)
+    : context_(context),
+      leadership_(leadership),
+      siblings_(siblings),
+      nextRelayNumber_(std::mt19937_64(seed)()) {}
 
 void HeartbeatRelay::redirectOrRelay(std::uint64_t request, const wire::WorkerHeartbeat& heartbeat,
                                      const std::string& body) {
@@ -45,7 +50,7 @@
   if (!siblings_.isReachable(route.leader)) return context_.replyTryAgain(request);
   if (route.relayedSince == Time{}) route.relayedSince = context_.now;
   const std::uint64_t number = nextRelayNumber_++;
-  pendingRelays_[number] = PendingRelay{request, host, context_.now + constants::kRelayTimeout};
+  pendingRelays_[number] = PendingRelay{request, host, route.leader, context_.now + constants::kRelayTimeout};
   logRelay("relay_sent", number, host);
   context_.sendTo(route.leader, peer::RelayRequest{number, body});
 }
@@ -56,10 +61,11 @@
   context_.reply(request, http::kMisdirectedRequest, Json{{"foreman", route.leader}});
 }
 
-void HeartbeatRelay::onResponse(const peer::RelayResponse& response) {
+void HeartbeatRelay::onResponse(const std::string& from, const peer::RelayResponse& response) {
   const auto found = pendingRelays_.find(response.number);
-  if (found == pendingRelays_.end())
-    return context_.logEvent(LogLevel::info, "relay_answer_dropped", {{"number", response.number}});
+  if (found == pendingRelays_.end() || found->second.leader != from)
+    return context_.logEvent(LogLevel::info, "relay_answer_dropped",
+                             {{"from", from}, {"number", response.number}});
   logRelay("relay_answered", response.number, found->second.host);
   const std::uint64_t request = found->second.request;
   pendingRelays_.erase(found);
--- a/src/service/heartbeat_relay.hpp
+++ b/src/service/heartbeat_relay.hpp
@@ -16,15 +16,19 @@
 // The follower's side of the relay. The leader's side is in Controller.
 class HeartbeatRelay {
  public:
-  HeartbeatRelay(Context& context, const cluster::Leadership& leadership, const SiblingMonitor& siblings);
+  // `seed` must differ from those of earlier processes of this controller, because the leader's answers to
+  // heartbeats that they relayed can arrive here.
+  HeartbeatRelay(Context& context, const cluster::Leadership& leadership, const SiblingMonitor& siblings,
+                 std::uint64_t seed);
 
   // Answers a worker's heartbeat. The answer is 421 with the leader's label for a redirect, the leader's own
   // answer for a relayed heartbeat, and 503 if this controller has no path to the leader. `body` is the
   // request's body as received.
   void redirectOrRelay(std::uint64_t request, const wire::WorkerHeartbeat& heartbeat,
                        const std::string& body);
-  // Forwards the leader's answer to a relayed heartbeat to the worker.
-  void onResponse(const peer::RelayResponse& response);
+  // Forwards the answer of the sibling `from` to a relayed heartbeat to the worker. Drops an answer to
+  // another process, from another sibling, or after the time limit.
+  void onResponse(const std::string& from, const peer::RelayResponse& response);
   // Drops the routes of workers that no longer send heartbeats, and answers 503 to relayed heartbeats that
   // the leader has not answered in time.
   void tick();
@@ -40,7 +44,8 @@
   // A relayed heartbeat that the leader has not answered yet.
   struct PendingRelay {
     std::uint64_t request = 0;
-    std::string host;  // of the worker
+    std::string host;    // of the worker
+    std::string leader;  // that the heartbeat was relayed to
     Time deadline{};
   };
 
@@ -57,7 +62,8 @@
   const SiblingMonitor& siblings_;
   std::map<std::string, WorkerRoute> routes_;            // by the worker's host
   std::map<std::uint64_t, PendingRelay> pendingRelays_;  // by the relay's number
-  std::uint64_t nextRelayNumber_ = 1;
+  // Starts at a random number, so that no two processes of this controller use the same ones.
+  std::uint64_t nextRelayNumber_;
 };
 
 }  // namespace reachhoist::service
--- a/src/service/runtime.cpp
+++ b/src/service/runtime.cpp
@@ -16,11 +16,18 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
 }
 
+// Returns 64 random bits, so that no two processes share a seed.
+std::uint64_t randomSeed() {
+  std::random_device device;
+  std::uniform_int_distribution<std::uint64_t> distribution;
+  return distribution(device);
+}
+
 }  // namespace
 
 Runtime::Runtime(const config::Settings& settings, LogLevel level, Context::LogSink sink)
     : settings_(settings),
-      controller_(settings, std::random_device{}(), level, std::move(sink)),
+      controller_(settings, randomSeed(), level, std::move(sink)),
       server_(
           reactor_, settings.serverSockets(),
           [this](std::uint64_t number, net::HttpMessage request) { onRequest(number, std::move(request)); }),
--- a/tests/scenario/actions.cpp
+++ b/tests/scenario/actions.cpp
@@ -48,6 +48,10 @@
     world.controllers.crash(process->label(), restartAfterS);
 }
 
+void crashAfterNextRelay(World& world, const Line& line) {
+  world.controllers.crashAfterNextRelay(line.word(3), Options(line, 4).real("restart-after", 2));
+}
+
 void suspendController(World& world, const Line& line) {
   world.controllers.suspend(controllerLabel(world, line), line.real(4));
 }
@@ -200,6 +204,7 @@
       {"cancel-at-end", cancelJobsAtEnd},
       {"repeated-and-invalid-requests", sendRepeatedAndInvalidRequests},
       {"crash", crash},
+      {"crash-after-next-relay", crashAfterNextRelay},
       {"suspend", suspendController},
       {"partition-zones", partitionZones},
       {"partition-from-store-and-peers", partitionFromStoreAndPeers},
--- a/tests/standin/controllers.cpp
+++ b/tests/standin/controllers.cpp
@@ -148,7 +148,34 @@
   for (const wire::Call& call : actions.calls) calls_.carryOut(process, call);
 }
 
+void Controllers::crashAfterNextRelay(const std::string& label, double restartAfterS) {
+  delayedRelays_[label] = DelayedRelay{restartAfterS, std::nullopt, 0};
+}
+
+bool Controllers::delayRelay(const ControllerProcess& process, const service::OutgoingPeerMessage& send) {
+  const auto found = delayedRelays_.find(process.label());
+  if (found == delayedRelays_.end() ||
+      !std::holds_alternative<reachhoist::peer::RelayRequest>(send.message.payload))
+    return false;
+  DelayedRelay& delayed = found->second;
+  if (!delayed.message) {
+    delayed.message = send;
+    crash(process.label(), delayed.restartAfterS);
+    delayed.crashedIncarnation = process.incarnation;
+    return true;
+  }
+  if (process.incarnation == delayed.crashedIncarnation) return false;
+  ++world_.counters.lateRelays;
+  deliverToPeer(process, *delayed.message);
+  delayedRelays_.erase(found);
+  return false;
+}
+
 void Controllers::sendToPeer(ControllerProcess& process, const service::OutgoingPeerMessage& send) {
+  if (!delayRelay(process, send)) deliverToPeer(process, send);
+}
+
+void Controllers::deliverToPeer(const ControllerProcess& process, const service::OutgoingPeerMessage& send) {
   const Network& network = world_.network;
   for (auto& entry : processes_) {
     ControllerProcess& peer = *entry;
--- a/tests/standin/controllers.hpp
+++ b/tests/standin/controllers.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,9 @@
   // Starts the controller within this process.
   void run(ControllerProcess& process);
   void crash(const std::string& label, double restartAfterS);
+  // Crashes the controller as soon as it has relayed the next heartbeat. That message is delayed on its way
+  // and arrives just before the first one that the next process of the controller relays.
+  void crashAfterNextRelay(const std::string& label, double restartAfterS);
   // Suspends the process for the duration. It then resumes where it was.
   void suspend(const std::string& label, double durationS);
 
@@ -67,16 +71,27 @@
   void deliverResult(ControllerProcess& process, std::uint64_t call, const wire::CallResult& result);
 
  private:
+  // A message whose sender crashes once it is on its way.
+  struct DelayedRelay {
+    double restartAfterS = 0;
+    std::optional<service::OutgoingPeerMessage> message;  // unset until it has been sent
+    std::uint64_t crashedIncarnation = 0;                 // of the sender
+  };
+
   void tick(ControllerProcess& process, std::uint64_t incarnation);
   void stop(ControllerProcess& process);
   void carryOutActions(ControllerProcess& process);
   void sendToPeer(ControllerProcess& process, const service::OutgoingPeerMessage& send);
+  // Returns whether the message is to be delayed beyond the crash of its sender.
+  bool delayRelay(const ControllerProcess& process, const service::OutgoingPeerMessage& send);
+  void deliverToPeer(const ControllerProcess& process, const service::OutgoingPeerMessage& send);
   void onLog(const std::string& label, const std::string& line);
 
   World& world_;
   OutgoingCalls calls_;
   std::vector<std::unique_ptr<ControllerProcess>> processes_;
   std::size_t nextIndex_ = 0;
+  std::map<std::string, DelayedRelay> delayedRelays_;  // by label of the sender
 };
 
 }  // namespace standin
