--- a/src/machines/machines.hpp
+++ b/src/machines/machines.hpp
@@ -47,6 +47,9 @@
   int directCommandsInFlight = 0;
   // Fencing token of a direct start command that the worker has not answered.
   std::optional<std::uint64_t> unresolvedStartToken;
+  // Highest fencing token of a direct start command for the attempt, answered or not; 0 if there was none. A
+  // repeat of that command takes effect until the worker has seen a higher token.
+  std::uint64_t directStartToken = 0;
   std::optional<std::uint32_t> batch;     // that holds its placement record; none if there is no record
   std::uint64_t startSentInSequence = 0;  // sequence of the heartbeat whose answer first carried the start
   std::uint64_t incarnation = 0;          // of the worker that runs it; 0 until a heartbeat reports it
--- a/src/service/leader/heartbeat_processor.cpp
+++ b/src/service/leader/heartbeat_processor.cpp
@@ -138,6 +138,7 @@
   unknownAttempt.number = status.attempt;
   unknownAttempt.inherited = true;
   unknownAttempt.stopRequested = true;
+  unknownAttempt.directStartToken = machine.workerToken;  // the start can have come by a direct call
   unknownAttempt.phase = AttemptPhase::recorded;
   unknownAttempt.phaseSince = unknownAttempt.placedAt = context_.now;
   if (const jobs::Job* job = state_.jobs.find(status.task.job.text); job != nullptr)
--- a/src/service/leader/worker_commands.cpp
+++ b/src/service/leader/worker_commands.cpp
@@ -22,6 +22,10 @@
   return "";
 }
 
+bool listsTooManyAttempts(const Machine& machine) {
+  return machine.attempts.size() > constants::kMaxEndedAttemptsListed;
+}
+
 const char* pathName(HeartbeatSource source) {
   switch (source) {
     case HeartbeatSource::worker:
@@ -55,12 +59,22 @@
 
 void WorkerCommands::advanceFencingToken(Machine& machine) {
   // One new token is enough until the worker has acknowledged it.
-  if (machine.workerToken < fencingTokenOf(machine)) return;
-  issueFencingToken(machine);
+  if (machine.workerToken >= fencingTokenOf(machine)) return issueFencingToken(machine);
+  if (machine.contact.tokenAcknowledged) awaitAcknowledgement(machine);
 }
 
-void WorkerCommands::issueFencingToken(Machine& machine) {
+void WorkerCommands::raiseFencingToken(Machine& machine) {
   ++machine.fencingSequence;
+  // The next token would be one of the next term.
+  if (machine.fencingSequence >= cluster::kMaxFencingSequence) state_.resign("fencing tokens used up");
+}
+
+void WorkerCommands::issueFencingToken(Machine& machine) {
+  raiseFencingToken(machine);
+  awaitAcknowledgement(machine);
+}
+
+void WorkerCommands::awaitAcknowledgement(Machine& machine) {
   machine.contact.tokenAcknowledged = false;
   machine.contact.unacknowledgedSince = context_.now;
 }
@@ -104,7 +118,7 @@
   std::vector<wire::Command> forgetCommands;
   std::vector<wire::Command> otherCommands;
   for (Attempt& attempt : machine.attempts) {
-    const auto command = takeDueCommand(attempt, source, sequence);
+    const auto command = takeDueCommand(machine, attempt, source, sequence);
     if (!command) continue;
     std::vector<wire::Command>& list =
         command->verb == wire::CommandVerb::forget ? forgetCommands : otherCommands;
@@ -114,8 +128,8 @@
   return forgetCommands;
 }
 
-std::optional<wire::Command> WorkerCommands::takeDueCommand(Attempt& attempt, HeartbeatSource source,
-                                                            std::uint64_t sequence) {
+std::optional<wire::Command> WorkerCommands::takeDueCommand(Machine& machine, Attempt& attempt,
+                                                            HeartbeatSource source, std::uint64_t sequence) {
   switch (attempt.phase) {
     case AttemptPhase::planned:
     case AttemptPhase::released:
@@ -127,7 +141,7 @@
     case AttemptPhase::checkpointing:
       return stopOnMachine(attempt, source);
     case AttemptPhase::ended:
-      return forgetEnded(attempt);
+      return forgetEnded(machine, attempt, source);
   }
   return std::nullopt;
 }
@@ -153,22 +167,34 @@
   return makeCommand(wire::CommandVerb::stop, attempt, attempt.gracePeriodS);
 }
 
-std::optional<wire::Command> WorkerCommands::forgetEnded(const Attempt& attempt) {
+std::optional<wire::Command> WorkerCommands::forgetEnded(Machine& machine, const Attempt& attempt,
+                                                         HeartbeatSource source) {
   // A start command that can still arrive would start the attempt again after the worker has forgotten it.
   if (attempt.directCommandsInFlight > 0 || attempt.unresolvedStartToken) return std::nullopt;
   const bool completed = attempt.cause == wire::Cause::done && !attempt.isService;
   if (completed && !callbacks_.isCompletionDurable(attempt.task)) return std::nullopt;
+  if (!invalidateDirectStart(machine, attempt, source)) return std::nullopt;
   return makeCommand(wire::CommandVerb::forget, attempt);
 }
 
+bool WorkerCommands::invalidateDirectStart(Machine& machine, const Attempt& attempt, HeartbeatSource source) {
+  if (attempt.directStartToken < fencingTokenOf(machine)) return true;
+  // The worker drops messages with the old token that arrive after one with the new token. So the token is
+  // not raised while a direct call is on its way, nor by a direct call that could overtake the answer to a
+  // heartbeat, unless the worker lists too many ended attempts.
+  const bool canRaise = source == HeartbeatSource::directCall ? listsTooManyAttempts(machine)
+                                                              : !machine.directCommands.inFlight;
+  if (canRaise) raiseFencingToken(machine);
+  return canRaise;
+}
+
 void WorkerCommands::scheduleForgetCommands() {
   for (auto& [host, machine] : state_.machines.all()) {
     const bool hasEndedAttempts =
         std::any_of(machine.attempts.begin(), machine.attempts.end(),
                     [](const Attempt& attempt) { return attempt.phase == AttemptPhase::ended; });
     // Otherwise the answer to the next heartbeat carries the forget commands, which are not urgent.
-    if (hasEndedAttempts && machine.attempts.size() > constants::kMaxEndedAttemptsListed)
-      requestDirectCall(machine);
+    if (hasEndedAttempts && listsTooManyAttempts(machine)) requestDirectCall(machine);
   }
 }
 
@@ -198,9 +224,12 @@
   if (directCall.issued.commands.empty() &&
       (machine.contact.tokenAcknowledged || !machine.contact.takeoverProbeSent))
     return;
-  for (const wire::Command& command : directCall.issued.commands)
-    if (command.verb == wire::CommandVerb::start)
-      ++machine.find(command.task, command.attempt)->directCommandsInFlight;
+  for (const wire::Command& command : directCall.issued.commands) {
+    if (command.verb != wire::CommandVerb::start) continue;
+    Attempt& attempt = *machine.find(command.task, command.attempt);
+    ++attempt.directCommandsInFlight;
+    attempt.directStartToken = directCall.issued.fencingToken;
+  }
   machine.directCommands.inFlight = true;
   onCallStarted();
   wire::Call call;
--- a/src/service/leader/worker_commands.hpp
+++ b/src/service/leader/worker_commands.hpp
@@ -80,15 +80,22 @@
   std::vector<wire::Command> takeDueCommands(Machine& machine, HeartbeatSource source,
                                              std::uint64_t sequence);
   // Returns the command due for the attempt, if any, and records it as sent.
-  std::optional<wire::Command> takeDueCommand(Attempt& attempt, HeartbeatSource source,
+  std::optional<wire::Command> takeDueCommand(Machine& machine, Attempt& attempt, HeartbeatSource source,
                                               std::uint64_t sequence);
   std::optional<wire::Command> startOrStopRecorded(Attempt& attempt, HeartbeatSource source,
                                                    std::uint64_t sequence);
   std::optional<wire::Command> stopOnMachine(Attempt& attempt, HeartbeatSource source);
-  std::optional<wire::Command> forgetEnded(const Attempt& attempt);
+  std::optional<wire::Command> forgetEnded(Machine& machine, const Attempt& attempt, HeartbeatSource source);
+  // Whether a command to forget the attempt can go out now: under the machine's token, it invalidates every
+  // direct start command for the attempt. Raises the token if that is necessary and possible.
+  bool invalidateDirectStart(Machine& machine, const Attempt& attempt, HeartbeatSource source);
   void logCommands(const Machine& machine, HeartbeatSource source, const IssuedCommands& issued) const;
-  // Issues a new fencing token, which the worker has yet to acknowledge.
+  // Raises the machine's fencing token. The machine still gets new work.
+  void raiseFencingToken(Machine& machine);
+  // Raises the fencing token. The machine gets no new work until its worker has acknowledged the token.
   void issueFencingToken(Machine& machine);
+  // Withholds new work until the worker has acknowledged the current fencing token.
+  void awaitAcknowledgement(Machine& machine);
   void sendDirectCommands(Machine& machine);
   void onDirectAnswer(const DirectCall& call, const wire::CallResult& result);
   // Notes which start commands of the call can still take effect although the call got no answer.
--- a/tests/scenario/actions.cpp
+++ b/tests/scenario/actions.cpp
@@ -82,6 +82,11 @@
   world.faults.duplicateHeartbeatDelayMaxS = line.real(4);
 }
 
+void repeatCommands(World& world, const Line& line) {
+  world.faults.repeatedCommandShare = line.real(3);
+  world.faults.repeatedCommandDelayMaxS = line.real(4);
+}
+
 void replayHeartbeat(World& world, const Line& line) {
   if (const Worker* worker = world.workerRunning(line.word(3)))
     world.heartbeatReplay.replayNext(worker->host(), line.real(4));
@@ -211,6 +216,7 @@
       {"partition-from-workers-and-peers", partitionFromWorkersAndPeers},
       {"partition-from-workers", partitionFromWorkers},
       {"duplicate-heartbeats", duplicateHeartbeats},
+      {"repeat-commands", repeatCommands},
       {"replay-heartbeat", replayHeartbeat},
       {"store-outage", startStoreOutage},
       {"store-outage-for", startStoreOutageFor},
--- a/tests/scenario/expectations.cpp
+++ b/tests/scenario/expectations.cpp
@@ -67,6 +67,7 @@
       {"elections", {[](World& w, const Line&) { return toReal(w.counters.elections); }}},
       {"task-stops", {[](World& w, const Line&) { return toReal(w.counters.taskStops); }}},
       {"max-worker-calls", {[](World& w, const Line&) { return toReal(w.counters.workerCallsInFlightMax); }}},
+      {"repeated-commands", {[](World& w, const Line&) { return toReal(w.counters.repeatedCommands); }}},
       {"late-relays", {[](World& w, const Line&) { return toReal(w.counters.lateRelays); }}},
       {"lost-leases", {[](World& w, const Line&) { return toReal(w.counters.leasesLost); }}},
       {"share-tables-refused", {[](World& w, const Line&) { return toReal(w.counters.shareTablesRefused); }}},
--- a/tests/standin/faults.hpp
+++ b/tests/standin/faults.hpp
@@ -23,6 +23,9 @@
   // This share of heartbeats arrives a second time, at any controller and at most the given time later.
   double duplicateHeartbeatShare = 0;
   double duplicateHeartbeatDelayMaxS = 0;
+  // This share of direct commands arrives a second time, at most the given time after they were carried out.
+  double repeatedCommandShare = 0;
+  double repeatedCommandDelayMaxS = 0;
 };
 
 }  // namespace standin
--- a/tests/standin/outgoing_calls.hpp
+++ b/tests/standin/outgoing_calls.hpp
@@ -33,6 +33,8 @@
                  const ResultCallback& onResult);
   void callWorker(const ControllerProcess& caller, const reachhoist::wire::Call& call,
                   const ResultCallback& onResult);
+  // With FaultPlan::repeatedCommandShare, delivers some commands a second time. Nobody gets the answer.
+  void repeatCommands(Worker& worker, const reachhoist::wire::Call& call);
   Worker* reachableWorker(const ControllerProcess& caller, const reachhoist::wire::Call& call) const;
 
   World& world_;
