--- a/tests/scenario/scenario.cpp
+++ b/tests/scenario/scenario.cpp
@@ -29,6 +29,12 @@
 
 Scenario::Scenario(const std::filesystem::path& path) {
   std::ifstream in(path);
+  read(in);
+}
+
+Scenario::Scenario(std::istream& in) { read(in); }
+
+void Scenario::read(std::istream& in) {
   std::string lineText;
   for (int lineNumber = 1; std::getline(in, lineText); ++lineNumber) {
     std::istringstream words(lineText.substr(0, lineText.find('#')));
