--- a/src/cluster/partitions.cpp
+++ b/src/cluster/partitions.cpp
@@ -1,5 +1,7 @@
 #include "cluster/partitions.hpp"
 
+#include "config/constants.hpp"
+
 namespace reachhoist::cluster {
 
 PartitionId partitionOf(std::string_view name, unsigned partitionCount) {
--- a/src/cluster/partitions.hpp
+++ b/src/cluster/partitions.hpp
@@ -6,8 +6,6 @@
 #include <string>
 #include <string_view>
 
-#include "config/constants.hpp"
-
 namespace reachhoist::cluster {
 
 // The index of a partition, less than the partition count.
@@ -21,8 +19,5 @@
 // Returns the fencing token of a command. It has the term in its high bits and, below them, a sequence number
 // that invalidates older commands to the same machine.
 std::uint64_t fencingToken(std::uint64_t term, std::uint64_t sequence);
-// The largest sequence number of a term's fencing tokens.
-inline constexpr std::uint64_t kMaxFencingSequence =
-    (std::uint64_t{1} << constants::kFencingTokenTermShiftBits) - 1;
 
 }  // namespace reachhoist::cluster
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -26,6 +26,9 @@
 // A fencing token holds the leader's term above these bits. The bits below count the tokens of one machine
 // within the term.
 inline constexpr int kFencingTokenTermShiftBits = 20;
+// The last token of a machine, and the last number of an attempt, in one term. The next ones belong to the
+// next term.
+inline constexpr std::uint64_t kMaxFencingSequence = (std::uint64_t{1} << kFencingTokenTermShiftBits) - 1;
 // The protocol allows no smaller Retry-After in an answer to a user.
 inline constexpr int kRetryAfterS = 1;
 
--- a/src/service/leader/leader_state.cpp
+++ b/src/service/leader/leader_state.cpp
@@ -53,6 +53,12 @@
   return context.now - recordsLoadedAt >= heartbeatTimeout(kFirstHeartbeatIntervals, 1);
 }
 
+std::optional<std::uint64_t> LeaderState::takeAttemptNumber() {
+  if (attemptCount_ < constants::kMaxFencingSequence) return cluster::fencingToken(term, ++attemptCount_);
+  resign("attempt numbers used up");
+  return std::nullopt;
+}
+
 std::vector<state::Condition> LeaderState::partitionConditions() const {
   std::vector<state::Condition> conditions;
   for (cluster::PartitionId partition = 0; partition < partitionRevisions_.size(); ++partition)
--- a/src/service/leader/leader_state.hpp
+++ b/src/service/leader/leader_state.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -64,6 +65,10 @@
   // workers that have sent no heartbeat in this term.
   Time inheritedLeaseRenewal() const { return electedAt + context.settings.answerWindow(); }
 
+  // Returns a number that no other attempt of any term has. Returns none, and resigns, if this term has used
+  // up its numbers.
+  std::optional<std::uint64_t> takeAttemptNumber();
+
   // The conditions of every durable change that a leader makes: it still holds all partitions.
   std::vector<state::Condition> partitionConditions() const;
   // Number of conditions that partitionConditions() returns.
@@ -98,6 +103,7 @@
   Time confirmedAt() const { return std::min(leadership.confirmedAt(), jobFeed.confirmedAt()); }
 
   std::vector<std::uint64_t> partitionRevisions_;
+  std::uint64_t attemptCount_ = 0;
   bool resigned_ = false;
 };
 
--- a/src/service/leader/placement_scheduler.cpp
+++ b/src/service/leader/placement_scheduler.cpp
@@ -137,16 +137,17 @@
 bool PlacementScheduler::tryAddAssignment(const placement::Assignment& assignment, Round& round) {
   jobs::Job& job = *assignment.job;
   Machine& machine = *assignment.machine;
+  const bool gangAttemptBegun = job.isGang() && job.gang.state == jobs::GangState::reserving;
+  // The tasks of a gang attempt share one number.
+  const auto number = gangAttemptBegun ? std::optional(job.gang.attemptNumber) : state_.takeAttemptNumber();
+  if (!number) return false;
   Attempt attempt;
   attempt.task = wire::TaskId{job.spec.ref, assignment.taskIndex};
+  attempt.number = *number;
   attempt.batch = state_.batches.assignBatch(machine, attempt, round.batches, constants::kMaxBatchesPerRound);
-  const bool gangAttemptBegun = job.isGang() && job.gang.state == jobs::GangState::reserving;
   if (!attempt.batch && !gangAttemptBegun) return false;
   // All placements of a gang are decided in one round, though they can need several transactions.
   if (!attempt.batch) reservingGangs_.insert(job.spec.ref.text);
-  // An attempt number is unique over all leaders and terms. The tasks of a gang attempt share one number.
-  attempt.number =
-      gangAttemptBegun ? job.gang.attemptNumber : cluster::fencingToken(state_.term, ++attemptCount_);
   if (job.isGang() && !gangAttemptBegun) gangs_.beginAttempt(job, attempt.number);
   setResourceFields(attempt, job.spec);
   setSchedulingFields(attempt, job);
--- a/src/service/leader/placement_scheduler.hpp
+++ b/src/service/leader/placement_scheduler.hpp
@@ -75,7 +75,6 @@
   AttemptTracker& attempts_;
   state::Committer committer_;
   RoundShares shares_;
-  std::uint64_t attemptCount_ = 0;
   std::vector<placement::UnplacedDemand> unplacedDemand_;
   std::set<std::string> reservingGangs_;  // gangs with tasks that no transaction places yet
   Time nextPlanAt_{};
--- a/src/service/leader/worker_commands.cpp
+++ b/src/service/leader/worker_commands.cpp
@@ -65,8 +65,7 @@
 
 void WorkerCommands::raiseFencingToken(Machine& machine) {
   ++machine.fencingSequence;
-  // The next token would be one of the next term.
-  if (machine.fencingSequence >= cluster::kMaxFencingSequence) state_.resign("fencing tokens used up");
+  if (machine.fencingSequence >= constants::kMaxFencingSequence) state_.resign("fencing tokens used up");
 }
 
 void WorkerCommands::issueFencingToken(Machine& machine) {
