--- a/src/service/leader/worker_commands.cpp
+++ b/src/service/leader/worker_commands.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "service/leader/command_log.hpp"
+
 namespace reachhoist::service {
 
 namespace {
@@ -10,33 +12,9 @@
   return wire::Command{verb, attempt.task, attempt.number, gracePeriodS};
 }
 
-const char* verbName(wire::CommandVerb verb) {
-  switch (verb) {
-    case wire::CommandVerb::start:
-      return "start";
-    case wire::CommandVerb::stop:
-      return "stop";
-    case wire::CommandVerb::forget:
-      return "forget";
-  }
-  return "";
-}
-
 bool listsTooManyAttempts(const Machine& machine) {
   return machine.attempts.size() > constants::kMaxEndedAttemptsListed;
 }
-
-const char* pathName(HeartbeatSource source) {
-  switch (source) {
-    case HeartbeatSource::worker:
-      return "answer";
-    case HeartbeatSource::siblingRelay:
-      return "relayed answer";
-    case HeartbeatSource::directCall:
-      return "direct call";
-  }
-  return "";
-}
 }  // namespace
 
 void WorkerCommands::stop(Machine& machine, Attempt& attempt, double gracePeriodS) {
@@ -95,23 +73,10 @@
                                              std::uint64_t sequence) {
   std::vector<wire::Command> commands = takeDueCommands(machine, source, sequence);
   IssuedCommands issued{fencingTokenOf(machine), std::move(commands)};
-  logCommands(machine, source, issued);
+  logCommands(context_, machine.host.text, source, issued.fencingToken, issued.commands);
   return issued;
 }
 
-void WorkerCommands::logCommands(const Machine& machine, HeartbeatSource source,
-                                 const IssuedCommands& issued) const {
-  if (!context_.isLogged(LogLevel::debug)) return;
-  for (const wire::Command& command : issued.commands)
-    context_.logEvent(LogLevel::debug, "command",
-                      {{"verb", verbName(command.verb)},
-                       {"task", command.task.str()},
-                       {"attempt", command.attempt},
-                       {"machine", machine.host.text},
-                       {"token", issued.fencingToken},
-                       {"by", pathName(source)}});
-}
-
 std::vector<wire::Command> WorkerCommands::takeDueCommands(Machine& machine, HeartbeatSource source,
                                                            std::uint64_t sequence) {
   std::vector<wire::Command> forgetCommands;
--- a/src/service/leader/worker_commands.hpp
+++ b/src/service/leader/worker_commands.hpp
@@ -10,15 +10,12 @@
 #include <vector>
 
 #include "cluster/leadership.hpp"
+#include "service/leader/heartbeat_source.hpp"
 #include "service/leader/leader_state.hpp"
 #include "state/callback_guard.hpp"
 
 namespace reachhoist::service {
 
-// How the state of a worker reached this leader: in a heartbeat from the worker itself, in a heartbeat that a
-// sibling relayed, or in the worker's answer to a direct call.
-enum class HeartbeatSource { worker, siblingRelay, directCall };
-
 // Commands to one machine, with the fencing token under which they are sent.
 struct IssuedCommands {
   std::uint64_t fencingToken = 0;
@@ -89,7 +86,6 @@
   // Whether a command to forget the attempt can go out now: under the machine's token, it invalidates every
   // direct start command for the attempt. Raises the token if that is necessary and possible.
   bool invalidateDirectStart(Machine& machine, const Attempt& attempt, HeartbeatSource source);
-  void logCommands(const Machine& machine, HeartbeatSource source, const IssuedCommands& issued) const;
   // Raises the machine's fencing token. The machine still gets new work.
   void raiseFencingToken(Machine& machine);
   // Raises the fencing token. The machine gets no new work until its worker has acknowledged the token.
