--- a/tests/standin/worker.cpp
+++ b/tests/standin/worker.cpp
@@ -45,6 +45,7 @@
 
 void Worker::hang(double durationS) {
   hungUntilS_ = world_.sim.now() + durationS;
+  checkLeaseWhileHung();
   // The peers of a gang's task detect the hang unless the machine resumes within gangStopWindowS. The task
   // itself detects it when the machine resumes.
   for (const auto& [key, attempt] : attempts_) {
@@ -62,6 +63,12 @@
   scheduleEarlyHeartbeat();
 }
 
+void Worker::checkLeaseWhileHung() {
+  if (!isAlive_ || !isHung()) return;
+  checkLease();
+  world_.sim.after(kTickIntervalS, [this] { checkLeaseWhileHung(); });
+}
+
 void Worker::checkLease() {
   const double leaseS = world_.baseSettings.workers.leaseS;
   if (world_.workerClockS(world_.sim.now() - leaseRenewedAtS_) <= leaseS) return;
--- a/tests/standin/worker.hpp
+++ b/tests/standin/worker.hpp
@@ -101,6 +101,9 @@
   // machine has been killed.
   void schedule(double delayS, std::function<void()> action);
   void checkLease();
+  // Checks the lease until the machine resumes: its tasks end with the lease, although the worker does
+  // nothing.
+  void checkLeaseWhileHung();
   // Removes all tasks without a final status: the lease has expired or the machine has been killed.
   void dropAllTasks();
   double cpusWhere(const std::function<bool(const wire::JobSpec&)>& matches) const;
