--- a/tests/scenario/expectations.cpp
+++ b/tests/scenario/expectations.cpp
@@ -68,6 +68,7 @@
       {"task-stops", {[](World& w, const Line&) { return toReal(w.counters.taskStops); }}},
       {"max-worker-calls", {[](World& w, const Line&) { return toReal(w.counters.workerCallsInFlightMax); }}},
       {"repeated-commands", {[](World& w, const Line&) { return toReal(w.counters.repeatedCommands); }}},
+      {"repeated-requests", {[](World& w, const Line&) { return toReal(w.counters.repeatedRequests); }}},
       {"late-relays", {[](World& w, const Line&) { return toReal(w.counters.lateRelays); }}},
       {"lost-leases", {[](World& w, const Line&) { return toReal(w.counters.leasesLost); }}},
       {"share-tables-refused", {[](World& w, const Line&) { return toReal(w.counters.shareTablesRefused); }}},
--- a/tests/standin/counters.hpp
+++ b/tests/standin/counters.hpp
@@ -14,6 +14,9 @@
   // The largest number of calls to workers that one controller had in flight at once.
   std::size_t workerCallsInFlightMax = 0;
   std::size_t repeatedCommands = 0;  // direct commands that arrived a second time
+  // Requests to the key-value store and the cloud, and messages between controllers, that arrived a second
+  // time.
+  std::size_t repeatedRequests = 0;
   std::size_t lateRelays = 0;  // relayed heartbeats that arrived after the crash of the relaying controller
   // Leases lost by machines that neither hung nor were partitioned.
   std::size_t leasesLost = 0;
--- a/tests/standin/outgoing_calls.hpp
+++ b/tests/standin/outgoing_calls.hpp
@@ -33,7 +33,10 @@
                  const ResultCallback& onResult);
   void callWorker(const ControllerProcess& caller, const reachhoist::wire::Call& call,
                   const ResultCallback& onResult);
-  // With FaultPlan::repeatedCommandShare, delivers some commands a second time. Nobody gets the answer.
+  // With FaultPlan::repeatedRequests, sends some requests to the key-value store or the cloud a second time,
+  // also if the caller has crashed meanwhile. Nobody gets the answer.
+  void repeatRequest(const std::string& caller, const reachhoist::wire::Call& call);
+  // With FaultPlan::repeatedCommands, delivers some commands a second time. Nobody gets the answer.
   void repeatCommands(Worker& worker, const reachhoist::wire::Call& call);
   Worker* reachableWorker(const ControllerProcess& caller, const reachhoist::wire::Call& call) const;
 
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 constexpr double kCheckIntervalS = 0.25;
+constexpr double kRepeatDelayMinS = 0.2;
 }  // namespace
 
 World::World(config::Settings settings, std::vector<MachineTypeSpec> machineTypes,
@@ -49,6 +50,11 @@
 
 wire::Time World::clock() const { return Simulation::steadyAt(sim.now() * (1 - faults.clockSlowdown)); }
 
+void World::repeatLater(const Repetition& repetition, std::function<void()> deliver) {
+  if (repetition.share <= 0 || !sim.chance(repetition.share)) return;
+  sim.after(sim.uniform(kRepeatDelayMinS, repetition.delayMaxS), std::move(deliver));
+}
+
 void World::partitionFromStoreAndPeers(const std::string& controller, double durationS) {
   store.startOutageFor(controller, durationS);
   network.partitionFromPeers(controller, durationS);
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -57,6 +57,9 @@
   // Returns the duration that a worker's clock shows for a true duration.
   double workerClockS(double trueS) const { return trueS * (1 - faults.clockSlowdown); }
 
+  // Chooses at random whether a message arrives a second time, and schedules the second delivery if so.
+  void repeatLater(const Repetition& repetition, std::function<void()> deliver);
+
   // --- the controllers, here within this process
   virtual void startController(ControllerProcess& process) { controllers.run(process); }
   virtual void sendToController(ControllerProcess& process, const std::string& method,
