--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -10,6 +10,9 @@
 using namespace std::chrono_literals;
 using std::chrono::milliseconds;
 
+// === Units
+inline constexpr double kBytesPerKib = 1024;
+
 // === Limits that the protocol sets for messages, calls and tokens
 // The protocol limits a request body to this size.
 inline constexpr std::size_t kMaxRequestBodyBytes = 64 * 1024;
--- a/src/fleet/pending_instances.cpp
+++ b/src/fleet/pending_instances.cpp
@@ -14,10 +14,8 @@
 
 // The catalogue's boot time of the machine's type, or zero for a type that the catalogue no longer offers.
 double nominalBootTimeS(const FleetSnapshot& snapshot, const Machine& machine) {
-  double bootTimeS = 0;
-  for (const wire::MachineType& machineType : snapshot.catalog)
-    if (machineType.name == machine.machineType) bootTimeS = machineType.nominalBootTimeS;
-  return bootTimeS;
+  const wire::MachineType* machineType = wire::findMachineType(snapshot.catalog, machine.machineType);
+  return machineType == nullptr ? 0 : machineType->nominalBootTimeS;
 }
 
 }  // namespace
--- a/src/service/job_admission.cpp
+++ b/src/service/job_admission.cpp
@@ -10,8 +10,6 @@
 
 using Catalog = std::vector<wire::MachineType>;
 
-constexpr double kBytesPerKib = 1024;
-
 bool isOfferedInZone(const wire::MachineType& machineType, const std::optional<std::string>& zone) {
   const auto& zones = machineType.zones;
   if (!zone) return !zones.empty();
@@ -57,7 +55,7 @@
   jobs::Job job;
   job.spec = spec;
   const auto bytes = static_cast<double>(jobs::encodeOpen(job).dump().size());
-  return bytes <= settings.stateLimits.maxValueKib * kBytesPerKib * constants::kMaxValueFillShare;
+  return bytes <= settings.stateLimits.maxValueKib * constants::kBytesPerKib * constants::kMaxValueFillShare;
 }
 
 }  // namespace
--- a/src/service/leader/boot_monitor.cpp
+++ b/src/service/leader/boot_monitor.cpp
@@ -14,9 +14,8 @@
 
 double BootMonitor::nominalBootTimeS(const Machine& machine) const {
   if (!context_.catalog) return 0;
-  for (const wire::MachineType& machineType : *context_.catalog)
-    if (machineType.name == machine.machineType) return machineType.nominalBootTimeS;
-  return 0;
+  const wire::MachineType* machineType = wire::findMachineType(*context_.catalog, machine.machineType);
+  return machineType == nullptr ? 0 : machineType->nominalBootTimeS;
 }
 
 // A machine that never comes up costs money until it is released. Where all boots are slow, though, a short
--- a/src/service/leader/leader_state.cpp
+++ b/src/service/leader/leader_state.cpp
@@ -10,7 +10,8 @@
 constexpr double kFirstHeartbeatIntervals = 1.5;
 
 std::size_t valueSizeLimitBytesOf(const config::Settings& settings) {
-  return static_cast<std::size_t>(settings.stateLimits.maxValueKib * 1024 * constants::kMaxBatchFillShare);
+  return static_cast<std::size_t>(settings.stateLimits.maxValueKib * constants::kBytesPerKib *
+                                  constants::kMaxBatchFillShare);
 }
 }  // namespace
 
--- a/src/service/leader/machine_lifecycle.cpp
+++ b/src/service/leader/machine_lifecycle.cpp
@@ -18,12 +18,11 @@
 
 void MachineLifecycle::applyMachineType(Machine& machine) const {
   if (!context_.catalog) return;
-  for (const wire::MachineType& machineType : *context_.catalog) {
-    if (machineType.name != machine.machineType) continue;
-    machine.capacity = machineType.capacity;
-    machine.imageCacheGb = machineType.imageCacheGb;
-    machine.imagePullGbPerS = machineType.imagePullGbPerS;
-  }
+  const wire::MachineType* machineType = wire::findMachineType(*context_.catalog, machine.machineType);
+  if (machineType == nullptr) return;
+  machine.capacity = machineType->capacity;
+  machine.imageCacheGb = machineType->imageCacheGb;
+  machine.imagePullGbPerS = machineType->imagePullGbPerS;
 }
 
 void MachineLifecycle::drain(Machine& machine, const char* why, DrainMode mode) {
--- a/src/shares/table.cpp
+++ b/src/shares/table.cpp
@@ -109,8 +109,8 @@
     if (auto problem = checkGroup(share.group, settings)) return problem;
     if (auto problem = checkWeight("group " + share.group.str() + " weight", share.weight)) return problem;
   }
-  const auto maxBytes =
-      static_cast<std::size_t>(settings.stateLimits.maxValueKib * 1024 * constants::kMaxValueFillShare);
+  const auto maxBytes = static_cast<std::size_t>(settings.stateLimits.maxValueKib * constants::kBytesPerKib *
+                                                 constants::kMaxValueFillShare);
   if (encode(table).dump().size() > maxBytes)
     return FieldError{"groups", "make a record of more than " + std::to_string(maxBytes) + " bytes"};
   return std::nullopt;
--- a/src/wire/types.cpp
+++ b/src/wire/types.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "config/constants.hpp"
 #include "wire/job_names.hpp"
 
 namespace reachhoist::wire {
@@ -10,7 +11,6 @@
 namespace {
 constexpr std::string_view kJobRefPrefix = "job-";
 constexpr std::size_t kMaxRefDigits = 18;
-constexpr double kRoundingTolerance = 1e-6;
 
 constexpr EnumName<JobStage> kJobStageNames[] = {{JobStage::pending, "pending"},
                                                  {JobStage::running, "running"},
@@ -54,9 +54,15 @@
 }
 
 bool Resources::fitsIn(const Resources& capacity) const {
-  return vcpus <= capacity.vcpus + kRoundingTolerance &&
-         accelerators <= capacity.accelerators + kRoundingTolerance &&
-         memoryGb <= capacity.memoryGb + kRoundingTolerance;
+  return vcpus <= capacity.vcpus + constants::kResourceTolerance &&
+         accelerators <= capacity.accelerators + constants::kResourceTolerance &&
+         memoryGb <= capacity.memoryGb + constants::kResourceTolerance;
+}
+
+const MachineType* findMachineType(const std::vector<MachineType>& catalog, std::string_view name) {
+  const auto found = std::find_if(catalog.begin(), catalog.end(),
+                                  [&](const MachineType& machineType) { return machineType.name == name; });
+  return found == catalog.end() ? nullptr : &*found;
 }
 
 bool JobSpec::allowsMachineType(std::string_view machineType) const {
--- a/src/wire/types.hpp
+++ b/src/wire/types.hpp
@@ -156,6 +156,9 @@
   std::vector<std::string> zones;  // the zones that offer the type
 };
 
+// The machine type with this name, or null if the catalogue does not offer it.
+const MachineType* findMachineType(const std::vector<MachineType>& catalog, std::string_view name);
+
 // The state of an instance in the cloud's list.
 enum class InstanceState { starting, running, failed };
 // An instance in the cloud's list.
