--- a/tests/unit/checker_test.cpp
+++ b/tests/unit/checker_test.cpp
@@ -83,6 +83,24 @@
   expectViolation("wrong_place");
 }
 
+TEST_F(CheckerTest, ReportsTaskOnADisallowedMachineType) {
+  wire::JobSpec job = spec("job-2");
+  job.allowedMachineTypes = {"large"};
+  checker.onSubmitted(0, job);
+  checker.onTaskStarted(2, task("job-2", 0), machineInfo("vm-1"));
+  expectViolation("wrong_place");
+}
+
+TEST_F(CheckerTest, ReportsTaskOutsideItsRequiredZone) {
+  wire::JobSpec job = spec("job-2");
+  job.requiredZone = "b";
+  checker.onSubmitted(0, job);
+  checker.onTaskStarted(2, task("job-2", 0), machineInfo("vm-1", "b"));
+  EXPECT_TRUE(checker.violations().empty());
+  checker.onTaskStarted(2, task("job-2", 1), machineInfo("vm-2", "a"));
+  expectViolation("wrong_place");
+}
+
 TEST_F(CheckerTest, ReportsSingleZoneJobInTwoZones) {
   wire::JobSpec job = spec("job-2");
   job.singleZone = true;
