--- a/review/standin-2/almost_fitting.cpp
+++ b/review/standin-2/almost_fitting.cpp
@@ -1,4 +1,4 @@
-// Case 8: the cloud has fewer machines to give. A job's task needs slightly more memory than the cheapest of the machine
+// Case 7: the cloud has fewer machines to give. A job's task needs slightly more memory than the cheapest of the machine
 // types has that the job allows, and the cloud has none of the other type left. The leader that looks for a machine to rent
 // takes memory without bound, until it is ended, and so do the next ones.
 #include <iostream>
