--- a/review/standin-2/borrowed_room.cpp
+++ b/review/standin-2/borrowed_room.cpp
@@ -1,4 +1,4 @@
-// Case 8: both teams run services of the same priority.
+// Case 9: both teams run services of the same priority.
 #include "guarantee_case.hpp"
 
 using namespace deployment;
--- a/review/standin-2/guarantee_case.hpp
+++ b/review/standin-2/guarantee_case.hpp
@@ -1,4 +1,4 @@
-// The cases 8, 10 and 11: the cloud has fewer machines to give. A team's job fits within its guarantee, and another team
+// The cases 9 and 10: the cloud has fewer machines to give. A team's job fits within its guarantee, and another team
 // uses more than its own guarantee on the only machine. The job has to get the room that the other team has borrowed.
 #pragma once
 
--- a/review/standin-2/reserved_for_gangs.cpp
+++ b/review/standin-2/reserved_for_gangs.cpp
@@ -1,4 +1,4 @@
-// Case 9: the cloud's interface is down for 15 s. Gangs that no longer fit into their team's limit keep what is left of
+// Case 11: the cloud's interface is down for 15 s. Gangs that no longer fit into their team's limit keep what is left of
 // it for themselves, one after the other, and a small array of the team waits beside machines with room.
 #include <iostream>
 
