--- a/src/service/leader/autoscaler.cpp
+++ b/src/service/leader/autoscaler.cpp
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "fleet/pool_offers.hpp"
-#include "fleet/scaling.hpp"
+#include "service/leader/heap_usage.hpp"
 
 namespace reachhoist::service {
 
@@ -63,8 +63,26 @@
   }
 }
 
+std::vector<fleet::ScaleOutRequest> Autoscaler::planScaleOut(const fleet::FleetSnapshot& snapshot) const {
+  if (!snapshot.unplaced.empty() && context_.isLogged(LogLevel::debug)) {
+    std::uint64_t taskCount = 0;
+    for (const placement::UnplacedDemand& demand : snapshot.unplaced) taskCount += demand.taskCount;
+    context_.logEvent(LogLevel::debug, "scale_out_planning",
+                      {{"jobs", snapshot.unplaced.size()},
+                       {"first_job", snapshot.unplaced.front().job->spec.ref.text},
+                       {"tasks", taskCount},
+                       {"refused_pools", snapshot.refusedPools.size()},
+                       {"heap_kib", heapInUseKib()}});
+  }
+  std::vector<fleet::ScaleOutRequest> requests = fleet::scaleOutForUnplacedDemand(snapshot);
+  if (!requests.empty() && context_.isLogged(LogLevel::debug))
+    context_.logEvent(LogLevel::debug, "scale_out_planned",
+                      {{"pools", requests.size()}, {"heap_kib", heapInUseKib()}});
+  return requests;
+}
+
 void Autoscaler::scaleOutForDemand(fleet::FleetSnapshot& snapshot) {
-  for (const fleet::ScaleOutRequest& request : fleet::scaleOutForUnplacedDemand(snapshot)) {
+  for (const fleet::ScaleOutRequest& request : planScaleOut(snapshot)) {
     requestInstances(request.pool, request.count, "unplaced demand");
     for (const jobs::Job* gang : request.gangs)
       gangsAwaitingInstances_[request.pool].insert(gang->spec.ref.text);
--- a/src/service/leader/autoscaler.hpp
+++ b/src/service/leader/autoscaler.hpp
@@ -10,6 +10,7 @@
 
 #include "cloud/client.hpp"
 #include "fleet/headroom.hpp"
+#include "fleet/scaling.hpp"
 #include "fleet/sizing.hpp"
 #include "service/leader/boot_monitor.hpp"
 #include "service/leader/instance_inventory.hpp"
@@ -46,6 +47,9 @@
   void sizingRound();
   // Drains up to `count` idle machines of the pool, within the headroom.
   void scaleIn(const cloud::PoolKey& pool, int count, fleet::Headroom& headroom);
+  // The instance requests for unplaced demand. Logs the demand before the decision and the heap memory before
+  // and after it.
+  std::vector<fleet::ScaleOutRequest> planScaleOut(const fleet::FleetSnapshot& snapshot) const;
   void scaleOutForDemand(fleet::FleetSnapshot& snapshot);
   void consolidate(const fleet::FleetSnapshot& snapshot);
   void requestInstances(const cloud::PoolKey& pool, int count, const char* why);
