--- a/src/fleet/pending_instances.cpp
+++ b/src/fleet/pending_instances.cpp
@@ -1,6 +1,7 @@
 // Pending instances, and the queued work that their free capacity does not cover.
 #include "fleet/pending_instances.hpp"
 
+#include <algorithm>
 #include <string_view>
 #include <unordered_map>
 
@@ -50,12 +51,13 @@
 void packInto(QueuedWork& queued, PendingInstance& instance) {
   const wire::JobSpec& spec = queued.demand.job->spec;
   if (!placement::isEligible(spec, instance.pool.machineType, instance.pool.zone, instance.pool.spot)) return;
-  while (queued.demand.taskCount > 0 && spec.taskResources.fitsIn(instance.free) &&
-         placement::zoneSpreadAllows(spec, queued.tasksByZone, instance.pool.zone)) {
-    instance.free -= spec.taskResources;
-    ++queued.tasksByZone[instance.pool.zone];
-    --queued.demand.taskCount;
-  }
+  const std::uint32_t allowed = std::min(
+      queued.demand.taskCount, placement::zoneSpreadAllowance(spec, queued.tasksByZone, instance.pool.zone));
+  const std::uint32_t packed = spec.taskResources.countFittingIn(instance.free, allowed);
+  if (packed == 0) return;
+  instance.free -= spec.taskResources * packed;
+  queued.tasksByZone[instance.pool.zone] += packed;
+  queued.demand.taskCount -= packed;
 }
 
 bool packIntoAny(QueuedWork& queued, std::vector<PendingInstance>& instances) {
--- a/src/fleet/unplaced_demand.cpp
+++ b/src/fleet/unplaced_demand.cpp
@@ -1,6 +1,5 @@
 // Scale-out for unplaced demand: the instances to request for work that fits on no machine, up or pending.
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 #include "fleet/pending_instances.hpp"
@@ -18,18 +17,6 @@
 // Weight of a pool's size in the cost of a task. It is so small that it only breaks ties.
 constexpr double kSpreadWeight = 0.001;
 
-// The number of tasks with these resources that fit into `capacity`.
-int tasksThatFit(const wire::Resources& taskResources, const wire::Resources& capacity) {
-  double fit = 1e6;
-  const auto limit = [&](double needed, double available) {
-    if (needed > 0) fit = std::min(fit, std::floor(available / needed + 1e-6));
-  };
-  limit(taskResources.vcpus, capacity.vcpus);
-  limit(taskResources.accelerators, capacity.accelerators);
-  limit(taskResources.memoryGb, capacity.memoryGb);
-  return static_cast<int>(fit);
-}
-
 // Whether the job gets instances now, rather than wait for capacity that frees up.
 bool isUrgent(const FleetSnapshot& snapshot, const jobs::Job& job, double nominalBootTimeS) {
   if (job.spec.priority >= wire::Priority::high) return true;
@@ -135,12 +122,12 @@
            isUrgent(snapshot_, *queued.demand.job, machineType->nominalBootTimeS);
   }
 
-  // The price of the capacity of one task in the pool. Of equally cheap pools the smallest wins, which
-  // spreads the risk over zones.
-  double taskCost(const QueuedWork& queued, const PoolOffer& pool, int fit) const {
+  // The price of the capacity of one task in the pool, of which `fittingTasks` share an instance. Of equally
+  // cheap pools the smallest wins, which spreads the risk over zones.
+  double taskCost(const PoolOffer& pool, std::uint32_t fittingTasks) const {
     const auto& [key, machineType] = pool;
     const auto size = state_.poolSizes.find(key);
-    return hourlyPrice(*machineType, key.spot) / std::min(fit, static_cast<int>(queued.demand.taskCount)) *
+    return hourlyPrice(*machineType, key.spot) / fittingTasks *
            snapshot_.bootTimes.costFactor(key.machineType, key.zone, snapshot_.now) *
            (1 + kSpreadWeight * (size == state_.poolSizes.end() ? 0 : size->second));
   }
@@ -151,9 +138,10 @@
     double bestCost = std::numeric_limits<double>::max();
     for (const PoolOffer& pool : pools_) {
       if (!canUse(queued, pool)) continue;
-      const int fit = tasksThatFit(queued.demand.job->spec.taskResources, pool.machineType->capacity);
-      if (fit < 1) continue;
-      const double cost = taskCost(queued, pool, fit);
+      const std::uint32_t fittingTasks = queued.demand.job->spec.taskResources.countFittingIn(
+          pool.machineType->capacity, queued.demand.taskCount);
+      if (fittingTasks == 0) continue;
+      const double cost = taskCost(pool, fittingTasks);
       if (cost >= bestCost) continue;
       bestCost = cost;
       best = &pool;
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -16,17 +16,22 @@
   return job.allowsMachineType(machineType);
 }
 
-bool zoneSpreadAllows(const wire::JobSpec& job, const std::map<std::string, std::uint32_t>& placedByZone,
-                      const std::string& zone) {
+std::uint32_t zoneSpreadAllowance(const wire::JobSpec& job,
+                                  const std::map<std::string, std::uint32_t>& placedByZone,
+                                  const std::string& zone) {
   if (job.singleZone) {
     for (const auto& [placedZone, count] : placedByZone)
-      if (count > 0 && placedZone != zone) return false;
+      if (count > 0 && placedZone != zone) return 0;
   }
-  if (job.spreadZones) {
-    const auto found = placedByZone.find(zone);
-    if (found != placedByZone.end() && found->second >= (job.taskCount + 1) / 2) return false;
-  }
-  return true;
+  if (!job.spreadZones) return job.taskCount;
+  const std::uint32_t maxInZone = job.taskCount / 2 + job.taskCount % 2;
+  const auto found = placedByZone.find(zone);
+  return found == placedByZone.end() ? maxInZone : maxInZone - std::min(found->second, maxInZone);
+}
+
+bool zoneSpreadAllows(const wire::JobSpec& job, const std::map<std::string, std::uint32_t>& placedByZone,
+                      const std::string& zone) {
+  return zoneSpreadAllowance(job, placedByZone, zone) > 0;
 }
 
 std::unordered_set<std::string> guaranteedJobs(const config::Settings& settings,
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -68,8 +68,13 @@
 // Whether machines of this type, zone and market can run tasks of the job, regardless of its placed tasks.
 bool isEligible(const wire::JobSpec& job, const std::string& machineType, const std::string& zone, bool spot);
 
-// Whether the job's zone rules (`singleZone`, `spreadZones`) allow one more task in the zone, given the
-// number of its placed tasks by zone.
+// How many more tasks of the job its zone rules (`singleZone`, `spreadZones`) allow in the zone, given the
+// number of its placed tasks by zone. At most the job's number of tasks.
+std::uint32_t zoneSpreadAllowance(const wire::JobSpec& job,
+                                  const std::map<std::string, std::uint32_t>& placedByZone,
+                                  const std::string& zone);
+
+// Whether these zone rules allow one more task in the zone.
 bool zoneSpreadAllows(const wire::JobSpec& job, const std::map<std::string, std::uint32_t>& placedByZone,
                       const std::string& zone);
 
--- a/src/wire/types.cpp
+++ b/src/wire/types.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 #include "config/constants.hpp"
 #include "wire/job_names.hpp"
@@ -16,6 +17,13 @@
                                                  {JobStage::running, "running"},
                                                  {JobStage::done, "done"},
                                                  {JobStage::cancelled, "cancelled"}};
+
+// How often the amount `needed` fits into `available`, at most `maxCount`. It must fit at least once.
+std::uint32_t timesFitting(double needed, double available, std::uint32_t maxCount) {
+  if (needed <= 0) return maxCount;
+  const double times = std::floor((available + constants::kResourceTolerance) / needed);
+  return times < maxCount ? static_cast<std::uint32_t>(times) : maxCount;
+}
 }  // namespace
 
 bool isValidJobRef(std::string_view text) {
@@ -59,6 +67,18 @@
          memoryGb <= capacity.memoryGb + constants::kResourceTolerance;
 }
 
+std::uint32_t Resources::countFittingIn(const Resources& capacity, std::uint32_t maxCount) const {
+  if (!fitsIn(capacity)) return 0;
+  std::uint32_t count = timesFitting(vcpus, capacity.vcpus, maxCount);
+  count = timesFitting(accelerators, capacity.accelerators, count);
+  return timesFitting(memoryGb, capacity.memoryGb, count);
+}
+
+Resources operator*(const Resources& taskResources, std::uint32_t count) {
+  return Resources{taskResources.vcpus * count, taskResources.accelerators * count,
+                   taskResources.memoryGb * count};
+}
+
 const MachineType* findMachineType(const std::vector<MachineType>& catalog, std::string_view name) {
   const auto found = std::find_if(catalog.begin(), catalog.end(),
                                   [&](const MachineType& machineType) { return machineType.name == name; });
--- a/src/wire/types.hpp
+++ b/src/wire/types.hpp
@@ -62,7 +62,12 @@
   Resources& operator-=(const Resources& other);
   // Returns whether no resource exceeds the capacity. Rounding errors of repeated sums are tolerated.
   bool fitsIn(const Resources& capacity) const;
+  // Returns how many tasks with these resources fit into the capacity together, at most `maxCount`. It is 0
+  // exactly if `fitsIn` is false or `maxCount` is 0. The tolerance applies once, not once for each task.
+  std::uint32_t countFittingIn(const Resources& capacity, std::uint32_t maxCount) const;
 };
+// Returns the resources of `count` tasks.
+Resources operator*(const Resources& taskResources, std::uint32_t count);
 
 // A submitted job.
 struct JobSpec {
--- a/tests/unit/pools_test.cpp
+++ b/tests/unit/pools_test.cpp
@@ -162,6 +162,29 @@
   EXPECT_TRUE(fleet::scaleOutForUnplacedDemand(refusingSnapshot).empty());
 }
 
+// Guards against instances on which the task doesn't fit: they were requested without end, since the
+// scale-out tolerated a larger excess than the packing.
+TEST_F(PoolsTest, NoInstanceIsRequestedForATaskSlightlyLargerThanTheType) {
+  jobs::Job job;
+  job.spec.ref.text = "job-1";
+  job.spec.priority = wire::Priority::high;
+  job.spec.taskCount = 2;
+  job.spec.taskResources = {2, 0, 64.00002};
+  auto snapshot = makeSnapshot();
+  snapshot.unplaced.push_back(placement::UnplacedDemand{&job, 2});
+  EXPECT_TRUE(fleet::scaleOutForUnplacedDemand(snapshot).empty());
+  wire::MachineType larger = catalog[0];
+  larger.name = "larger";
+  larger.capacity.memoryGb = 128;
+  larger.onDemandPricePerHour = 1.5;
+  larger.zones = {"a"};
+  catalog.push_back(larger);
+  const auto requests = fleet::scaleOutForUnplacedDemand(snapshot);
+  ASSERT_EQ(requests.size(), 1U);
+  EXPECT_EQ(requests[0].pool.machineType, "larger");
+  EXPECT_EQ(requests[0].count, 2);
+}
+
 TEST_F(PoolsTest, OverdueBootIsNoPendingCapacityUnlessAllBootsAreOverdue) {
   const auto addBooting = [&](double ageS) {
     Machine& machine = add("a", 0);
