--- a/src/placement/gang_placer.cpp
+++ b/src/placement/gang_placer.cpp
@@ -23,14 +23,14 @@
   ZoneCounts placedByZone;
   for (const BinChoice& choice : rankBins(job, zone)) {
     const Bin& bin = state_.bins[choice.binIndex];
-    wire::Resources capacity = bin.freeCapacity;
-    while (fit.binIndexes.size() < job.spec.taskCount && job.spec.taskResources.fitsIn(capacity) &&
-           zoneSpreadAllows(job.spec, placedByZone, bin.machine->zone)) {
-      capacity -= job.spec.taskResources;
-      ++placedByZone[bin.machine->zone];
-      fit.binIndexes.push_back(choice.binIndex);
-      fit.slowestStartS = choice.delayS;
-    }
+    const auto unplaced = job.spec.taskCount - static_cast<std::uint32_t>(fit.binIndexes.size());
+    const std::uint32_t allowed =
+        std::min(unplaced, zoneSpreadAllowance(job.spec, placedByZone, bin.machine->zone));
+    const std::uint32_t fitting = job.spec.taskResources.countFittingIn(bin.freeCapacity, allowed);
+    if (fitting == 0) continue;
+    placedByZone[bin.machine->zone] += fitting;
+    fit.binIndexes.insert(fit.binIndexes.end(), fitting, choice.binIndex);
+    fit.slowestStartS = choice.delayS;
     if (fit.binIndexes.size() == job.spec.taskCount) break;
   }
   return fit;
--- a/src/placement/gang_preemptor.cpp
+++ b/src/placement/gang_preemptor.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-// Takes the capacity of as many tasks as fit, and returns their number.
+// Takes the capacity of as many tasks of the gang as fit, and returns their number.
 std::uint32_t takeFittingTasks(const Job& job, wire::Resources& capacity) {
-  std::uint32_t fitting = 0;
-  for (; job.spec.taskResources.fitsIn(capacity); ++fitting) capacity -= job.spec.taskResources;
+  const std::uint32_t fitting = job.spec.taskResources.countFittingIn(capacity, job.spec.taskCount);
+  capacity -= job.spec.taskResources * fitting;
   return fitting;
 }
 
--- a/src/placement/pending_capacity.cpp
+++ b/src/placement/pending_capacity.cpp
@@ -7,12 +7,9 @@
 
 std::uint32_t promiseOn(Bin& bin, const Job& job, std::uint32_t taskCount) {
   if (taskCount == 0 || !bin.hasStoppingAttempts || !isUsable(bin, job)) return 0;
-  wire::Resources capacity = bin.unpromisedCapacity();
-  std::uint32_t pendingTasks = 0;
-  for (; pendingTasks < taskCount && job.spec.taskResources.fitsIn(capacity); ++pendingTasks) {
-    capacity -= job.spec.taskResources;
-    bin.promisedCapacity += job.spec.taskResources;
-  }
+  const std::uint32_t pendingTasks =
+      job.spec.taskResources.countFittingIn(bin.unpromisedCapacity(), taskCount);
+  bin.promisedCapacity += job.spec.taskResources * pendingTasks;
   return pendingTasks;
 }
 
@@ -25,10 +22,7 @@
     wire::Resources capacity = bin.freeCapacity;
     for (const machines::Attempt& attempt : bin.machine->attempts)
       if (attempt.holdsCapacity() && attempt.stopRequested) capacity += attempt.resources;
-    while (job.spec.taskResources.fitsIn(capacity)) {
-      capacity -= job.spec.taskResources;
-      ++pendingTasks;
-    }
+    pendingTasks += job.spec.taskResources.countFittingIn(capacity, job.waitingCount - pendingTasks);
   }
   return pendingTasks;
 }
--- a/src/placement/pending_capacity.hpp
+++ b/src/placement/pending_capacity.hpp
@@ -8,7 +8,7 @@
 
 namespace reachhoist::placement {
 
-// Returns for how many tasks of the job there will be pending capacity, regardless of other jobs.
+// Returns for how many waiting tasks of the job there will be pending capacity, regardless of other jobs.
 std::uint32_t countPendingCapacity(const RoundState& state, const Job& job);
 
 // Promises pending capacity to up to `taskCount` tasks of the job and returns their number. Capacity that is
--- a/src/placement/team_quotas.cpp
+++ b/src/placement/team_quotas.cpp
@@ -1,6 +1,8 @@
 // Team quotas in one placement round; see team_quotas.hpp.
 #include "placement/team_quotas.hpp"
 
+#include <limits>
+
 namespace reachhoist::placement {
 
 void TeamQuotas::add(const std::string& team, const wire::Resources& task, double taskCount) {
@@ -15,25 +17,17 @@
 }
 
 bool TeamQuotas::allows(const jobs::Job& job, std::uint32_t taskCount) const {
-  const config::Team* team = settings_.team(job.spec.team);
-  if (team == nullptr) return false;
-  if (team->cpusMax <= 0 && team->gpusMax <= 0) return true;
-  const TeamUsage usage = usageOf(job.spec.team);
-  const wire::Resources& task = job.spec.taskResources;
-  if (team->cpusMax > 0 &&
-      usage.cpus + task.vcpus * taskCount > team->cpusMax + constants::kResourceTolerance)
-    return false;
-  return !(team->gpusMax > 0 &&
-           usage.gpus + task.accelerators * taskCount > team->gpusMax + constants::kResourceTolerance);
+  return settings_.team(job.spec.team) != nullptr && tasksWithinLimit(job, taskCount) == taskCount;
 }
 
 std::uint32_t TeamQuotas::tasksWithinLimit(const jobs::Job& job, std::uint32_t taskCount) const {
   const config::Team* team = settings_.team(job.spec.team);
-  if (team == nullptr || team->cpusMax <= 0) return taskCount;
-  const double freeCpus = team->cpusMax - usageOf(job.spec.team).cpus;
-  const double fittingTasks = freeCpus / std::max(job.spec.taskResources.vcpus, constants::kMinCpuDivisor) +
-                              constants::kResourceTolerance;
-  return std::min(taskCount, static_cast<std::uint32_t>(std::max(0.0, fittingTasks)));
+  if (team == nullptr) return 0;
+  const TeamUsage usage = usageOf(job.spec.team);
+  constexpr double kUnlimited = std::numeric_limits<double>::infinity();
+  const wire::Resources unused{team->cpusMax > 0 ? team->cpusMax - usage.cpus : kUnlimited,
+                               team->gpusMax > 0 ? team->gpusMax - usage.gpus : kUnlimited, kUnlimited};
+  return job.spec.taskResources.countFittingIn(unused, taskCount);
 }
 
 bool TeamQuotas::exceedsGuarantee(const std::string& name) const {
--- a/src/placement/team_quotas.hpp
+++ b/src/placement/team_quotas.hpp
@@ -26,7 +26,8 @@
   void add(const std::string& team, const wire::Resources& task, double taskCount = 1);
   // Whether the limit of the job's team allows `taskCount` more tasks of the job. False for an unknown team.
   bool allows(const jobs::Job& job, std::uint32_t taskCount = 1) const;
-  // Returns how many of the given tasks of the job the team's limit on CPUs allows to start.
+  // Returns how many of the given tasks of the job the limit of its team allows to start. None for an unknown
+  // team.
   std::uint32_t tasksWithinLimit(const jobs::Job& job, std::uint32_t taskCount) const;
   // Whether the team uses more CPUs than its guarantee.
   bool exceedsGuarantee(const std::string& team) const;
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -218,6 +218,55 @@
   EXPECT_EQ(fixture.plan().assignments.size(), 2U);
 }
 
+// Guards against a leader that counts without end how many tasks without size fit into the capacity that a
+// cancelled task will free (review, case 6).
+TEST(Plan, WaitingTasksWithoutSizeAreCountedUpToTheirNumber) {
+  for (const wire::JobKind kind : {wire::JobKind::service, wire::JobKind::gang}) {
+    PlanFixture fixture;
+    Machine& machine = fixture.addUpMachine("vm-1", 4);
+    Attempt cancelled;
+    cancelled.task = wire::TaskId{{"job-9"}, 0};
+    cancelled.team = "u";
+    cancelled.phase = machines::AttemptPhase::running;
+    cancelled.resources = {2, 0, 2};
+    cancelled.priority = wire::Priority::bestEffort;
+    Attempt running = cancelled;
+    running.task.index = 1;
+    running.number = 1;
+    cancelled.stopRequested = true;
+    machine.attempts = {cancelled, running};
+    jobs::Job& job = fixture.addJob("job-1", kind, wire::Priority::prod, 3, 1'000);
+    job.spec.taskResources = {0, 0, 0};
+    job.spec.spreadZones = true;  // one task finds no zone
+    const auto plan = fixture.plan();
+    EXPECT_EQ(plan.assignments.size(), kind == wire::JobKind::gang ? 0U : 2U);
+    ASSERT_EQ(plan.unplaced.size(), 1U);
+    EXPECT_EQ(plan.unplaced[0].taskCount, kind == wire::JobKind::gang ? 3U : 1U);
+  }
+}
+
+// Guards against instances for tasks that the team's limit doesn't allow to start: only the limit on CPUs was
+// counted, and with a larger tolerance than when the tasks were placed.
+TEST(Plan, UnplacedDemandIsWithinTheLimitsThatPlacementObserves) {
+  PlanFixture fixture;
+  fixture.settings.teams = {{"t", 0, 96, 0, 4}};
+  jobs::Job& job = fixture.addJob("job-1", wire::JobKind::array, wire::Priority::standard, 100, 1'000);
+  job.spec.taskResources = {1, 1, 1};
+  auto plan = fixture.plan();
+  ASSERT_EQ(plan.unplaced.size(), 1U);
+  EXPECT_EQ(plan.unplaced[0].taskCount, 4U);
+  // Another job of the team leaves slightly less than one task needs.
+  job.spec.taskResources = {48.00003, 0, 1};
+  Attempt running;
+  running.task = wire::TaskId{{"job-9"}, 0};
+  running.team = "t";
+  running.phase = machines::AttemptPhase::running;
+  running.resources = {48, 0, 2};
+  fixture.addUpMachine("vm-1", 48).attempts = {running};
+  plan = fixture.plan();
+  EXPECT_TRUE(plan.unplaced.empty());
+}
+
 // A batch that was written under larger limits moves to other batches over several rounds, each of which
 // stays within the present limits.
 TEST(PlacementBatches, OversizedBatchShrinksOverSeveralRounds) {
