--- a/src/cloud/client.cpp
+++ b/src/cloud/client.cpp
@@ -49,14 +49,7 @@
 }
 
 void Client::requestInstances(Time now, const PoolKey& pool, std::size_t count) {
-  while (count > 0) {
-    auto request = std::make_shared<InstanceRequest>();
-    request->name = incarnationName_ + "-" + std::to_string(++requestCount_);
-    request->pool = pool;
-    request->count = std::min(count, constants::kMaxInstancesPerRequest);
-    count -= request->count;
-    requests_.push_back(request);
-  }
+  if (count > 0) unsent_.push_back(UnsentInstances{pool, count});
   tick(now);
 }
 
@@ -69,6 +62,8 @@
   std::size_t count = 0;
   for (const auto& request : requests_)
     if (request->pool == pool) count += request->count;
+  for (const UnsentInstances& unsent : unsent_)
+    if (unsent.pool == pool) count += unsent.count;
   return count;
 }
 
@@ -78,6 +73,7 @@
   const auto requests = requests_;  // a copy, because an answer removes its request from requests_
   for (const auto& request : requests)
     if (!request->inFlight && now >= request->retryAt) sendInstanceRequest(now, request);
+  sendUnsent(now);
   if (!catalogInFlight_ && now >= nextCatalogAt_) requestCatalog(now);
   if (!listInFlight_ && now >= nextListAt_) requestListPage(now);
 }
@@ -91,14 +87,27 @@
                    {"loaners", request->pool.spot},
                    {"number", request->count}},
               [this, request](const wire::CallResult& result) { onInstanceResponse(request, result); });
-  request->sent = request->sent || request->inFlight;
+}
+
+void Client::sendUnsent(Time now) {
+  while (!unsent_.empty() && requestBudget_.affords(now, 1)) {
+    UnsentInstances& unsent = unsent_.front();
+    auto request = std::make_shared<InstanceRequest>();
+    request->name = incarnationName_ + "-" + std::to_string(++requestCount_);
+    request->pool = unsent.pool;
+    request->count = std::min(unsent.count, constants::kMaxInstancesPerRequest);
+    requests_.push_back(request);
+    sendInstanceRequest(now, request);
+    unsent.count -= request->count;
+    if (unsent.count == 0) unsent_.pop_front();
+  }
 }
 
 void Client::dropUnsent(const PoolKey& pool) {
   std::size_t droppedInstances = 0;
-  std::erase_if(requests_, [&](const auto& request) {
-    if (request->sent || request->pool != pool) return false;
-    droppedInstances += request->count;
+  std::erase_if(unsent_, [&](const UnsentInstances& unsent) {
+    if (unsent.pool != pool) return false;
+    droppedInstances += unsent.count;
     return true;
   });
   if (droppedInstances > 0) handlers_.provisioned(pool, {}, droppedInstances);
--- a/src/cloud/client.hpp
+++ b/src/cloud/client.hpp
@@ -3,6 +3,7 @@
 // name that makes it idempotent, and the client retries it under that name until its outcome is known.
 #pragma once
 
+#include <deque>
 #include <memory>
 #include <set>
 
@@ -51,8 +52,8 @@
   Client(wire::Calls& calls, const config::Settings& settings, std::string incarnationName,
          Handlers handlers);
 
-  // Requests `count` instances in the pool, split into requests of at most
-  // constants::kMaxInstancesPerRequest.
+  // Requests `count` instances in the pool. They are split into requests of at most
+  // constants::kMaxInstancesPerRequest when these are sent.
   void requestInstances(Time now, const PoolKey& pool, std::size_t count);
   // Releases the host (scale-in). The client sends the release at the next tick and retries it until the
   // cloud confirms it.
@@ -68,17 +69,24 @@
     std::string name;
     PoolKey pool;
     std::size_t count = 0;
-    int refusals = 0;   // number of refusals for lack of capacity
-    bool sent = false;  // sent at least once, so that the cloud may have received it
-    Time retryAt{};     // earliest time of the next attempt
+    int refusals = 0;  // number of refusals for lack of capacity
+    Time retryAt{};    // earliest time of the next attempt
     bool inFlight = false;
   };
+  // Instances that no request has been sent for yet.
+  struct UnsentInstances {
+    PoolKey pool;
+    std::size_t count = 0;
+  };
   // Sends the call if the rate limit allows it now. Returns whether the call was sent.
   bool tryCall(Time now, const char* method, std::string path, Json body, wire::Calls::Done done);
+  // Sends the request if the rate limit allows it now.
   void sendInstanceRequest(Time now, const std::shared_ptr<InstanceRequest>& request);
+  // Sends requests for the unsent instances, oldest first, as far as the rate limit allows.
+  void sendUnsent(Time now);
   // Reports the outcome of the request and removes the request.
   void finish(const std::shared_ptr<InstanceRequest>& request, const std::vector<std::string>& hosts);
-  // Drops the unsent requests for the pool. The pool has no capacity left, so the cloud would refuse them
+  // Drops the unsent instances of the pool. The pool has no capacity left, so the cloud would refuse them
   // too.
   void dropUnsent(const PoolKey& pool);
   void onInstanceResponse(const std::shared_ptr<InstanceRequest>& request, const wire::CallResult& result);
@@ -96,7 +104,8 @@
   state::TokenBucket requestBudget_;
   Time now_{};
   std::uint64_t requestCount_ = 0;
-  std::vector<std::shared_ptr<InstanceRequest>> requests_;
+  std::vector<std::shared_ptr<InstanceRequest>> requests_;  // sent at least once, outcome not known yet
+  std::deque<UnsentInstances> unsent_;                      // oldest first
   std::set<std::string> hostsToRelease_;
   bool releaseInFlight_ = false;
   Time nextReleaseAt_{};
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -368,6 +368,12 @@
 // --- Scale-out and consolidation beside the sizing rounds --------------------------------------------------
 // Interval between scale-outs for unplaced demand.
 inline constexpr milliseconds kScaleOutInterval = 1s;
+// The pools are compared again after this share of the instances still needed has been requested.
+inline constexpr double kScaleOutStepDivisor = 64;
+// Limits the instances that are requested before the pools are compared again.
+inline constexpr double kMaxScaleOutStepInstances = 100'000;
+// Limits how often one scale-out for unplaced demand compares the pools. The rest waits for the next one.
+inline constexpr int kMaxScaleOutSteps = 2000;
 // A pool that has refused an instance request gets no other for this long.
 inline constexpr milliseconds kRefusedPoolBackoff = 20s;
 // Interval between consolidations. A machine is drained in about one second.
--- a/src/fleet/pending_instances.cpp
+++ b/src/fleet/pending_instances.cpp
@@ -19,6 +19,19 @@
   return machineType == nullptr ? 0 : machineType->nominalBootTimeS;
 }
 
+// Claims capacity on each of the first `count` instances of `groups[index]`. The others become a group of
+// their own behind it.
+void claimCapacity(std::vector<PendingGroup>& groups, std::size_t index, std::size_t count,
+                   const wire::Resources& claimed) {
+  if (count < groups[index].count) {
+    PendingGroup others = groups[index];
+    others.count -= count;
+    groups.insert(groups.begin() + static_cast<std::ptrdiff_t>(index) + 1, std::move(others));
+    groups[index].count = count;
+  }
+  groups[index].free -= claimed;
+}
+
 }  // namespace
 
 bool isStraggler(const FleetSnapshot& snapshot, const BootCohorts& cohorts, const Machine& machine) {
@@ -28,43 +41,46 @@
   return snapshot.now - machine.provisionedAt > expected && cohorts.lagsCohort(machine);
 }
 
-std::vector<PendingInstance> pendingInstances(const FleetSnapshot& snapshot) {
-  std::vector<PendingInstance> pending;
+std::vector<PendingGroup> pendingInstances(const FleetSnapshot& snapshot) {
+  std::vector<PendingGroup> pending;
   const BootCohorts cohorts(snapshot.machines);
   for (const Machine* machine : snapshot.machines) {
     if (machine->phase == MachinePhase::booting) {
       if (!isStraggler(snapshot, cohorts, *machine))
-        pending.push_back(PendingInstance{poolOf(*machine), machine->capacity});
+        pending.push_back(PendingGroup{poolOf(*machine), machine->capacity});
     } else if (machine->phase == MachinePhase::up && !machine->contact.tokenAcknowledged &&
                !machine->spotNoticeAt) {
-      pending.push_back(PendingInstance{poolOf(*machine), machine->freeCapacity()});
+      pending.push_back(PendingGroup{poolOf(*machine), machine->freeCapacity()});
     }
   }
   for (const auto& [key, machineType] : offeredPools(snapshot.catalog)) {
     const auto found = snapshot.pendingRequests.find(key);
-    for (std::size_t i = 0; found != snapshot.pendingRequests.end() && i < found->second; ++i)
-      pending.push_back(PendingInstance{key, machineType->capacity});
+    if (found != snapshot.pendingRequests.end() && found->second > 0)
+      pending.push_back(PendingGroup{key, machineType->capacity, found->second});
   }
   return pending;
 }
 
-void packInto(QueuedWork& queued, PendingInstance& instance) {
+void packInto(QueuedWork& queued, std::vector<PendingGroup>& groups, std::size_t index) {
+  const PendingGroup& group = groups[index];
   const wire::JobSpec& spec = queued.demand.job->spec;
-  if (!placement::isEligible(spec, instance.pool.machineType, instance.pool.zone, instance.pool.spot)) return;
+  if (!placement::isEligible(spec, group.pool.machineType, group.pool.zone, group.pool.spot)) return;
   const std::uint32_t allowed = std::min(
-      queued.demand.taskCount, placement::zoneSpreadAllowance(spec, queued.tasksByZone, instance.pool.zone));
-  const std::uint32_t packed = spec.taskResources.countFittingIn(instance.free, allowed);
-  if (packed == 0) return;
-  instance.free -= spec.taskResources * packed;
-  queued.tasksByZone[instance.pool.zone] += packed;
+      queued.demand.taskCount, placement::zoneSpreadAllowance(spec, queued.tasksByZone, group.pool.zone));
+  const std::uint32_t tasksPerInstance = spec.taskResources.countFittingIn(group.free, allowed);
+  if (tasksPerInstance == 0) return;
+  const std::size_t filledInstances = std::min<std::size_t>(group.count, allowed / tasksPerInstance);
+  const std::uint32_t tasksInLast = filledInstances < group.count ? allowed % tasksPerInstance : 0;
+  const auto packed = static_cast<std::uint32_t>(filledInstances * tasksPerInstance) + tasksInLast;
+  queued.tasksByZone[group.pool.zone] += packed;
   queued.demand.taskCount -= packed;
+  claimCapacity(groups, index, filledInstances, spec.taskResources * tasksPerInstance);
+  if (tasksInLast > 0) claimCapacity(groups, index + 1, 1, spec.taskResources * tasksInLast);
 }
 
-bool packIntoAny(QueuedWork& queued, std::vector<PendingInstance>& instances) {
-  for (PendingInstance& instance : instances) {
-    if (queued.demand.taskCount == 0) break;
-    packInto(queued, instance);
-  }
+bool packIntoAny(QueuedWork& queued, std::vector<PendingGroup>& groups, std::size_t first) {
+  for (std::size_t i = first; i < groups.size() && queued.demand.taskCount > 0; ++i)
+    packInto(queued, groups, i);
   return queued.demand.taskCount == 0;
 }
 
@@ -95,7 +111,7 @@
   return queue;
 }
 
-std::vector<QueuedWork> uncoveredWork(const FleetSnapshot& snapshot, std::vector<PendingInstance>& pending) {
+std::vector<QueuedWork> uncoveredWork(const FleetSnapshot& snapshot, std::vector<PendingGroup>& pending) {
   std::vector<QueuedWork> uncovered;
   for (QueuedWork& queued : queuedWork(snapshot, snapshot.unplaced, true)) {
     if (inScaleOutBackoff(snapshot, queued.demand)) continue;
--- a/src/fleet/pool_offers.hpp
+++ b/src/fleet/pool_offers.hpp
@@ -16,6 +16,11 @@
 // The price of one instance per hour: the market price for spot instances, the on-demand price otherwise.
 double hourlyPrice(const wire::MachineType& machineType, bool spot);
 
+// The number of instances to request of the chosen pool before the pools are compared again, given the number
+// that is still needed. It is 1 up to twice constants::kScaleOutStepDivisor and grows with the need, so that
+// the number of comparisons grows with its logarithm.
+int instancesInStep(double neededInstances);
+
 // Every pool that the catalogue offers: one on-demand and one spot pool per machine type and zone.
 std::vector<PoolOffer> offeredPools(const std::vector<wire::MachineType>& catalog);
 
--- a/src/fleet/reserve.cpp
+++ b/src/fleet/reserve.cpp
@@ -46,10 +46,11 @@
   for (const Machine* machine : snapshot.machines)
     if (acceptsWork(*machine) && !machine->spot && !isPartitioned(snapshot, *machine))
       addMachine(*machine, capacity);
-  for (const PendingInstance& instance : pendingInstances(snapshot)) {
-    if (instance.pool.spot) continue;
-    capacity.freeCpus += instance.free.vcpus;
-    capacity.freeCpusByZone[instance.pool.zone] += instance.free.vcpus;
+  for (const PendingGroup& group : pendingInstances(snapshot)) {
+    if (group.pool.spot) continue;
+    const double freeCpus = group.free.vcpus * static_cast<double>(group.count);
+    capacity.freeCpus += freeCpus;
+    capacity.freeCpusByZone[group.pool.zone] += freeCpus;
   }
   for (const placement::UnplacedDemand& demand : snapshot.unplaced)
     if (needsReserve(demand.job->spec) && !inScaleOutBackoff(snapshot, demand))
@@ -90,9 +91,11 @@
     // A gap smaller than a machine is left open. Otherwise small deployments would pay a machine for one
     // task.
     if (best == nullptr || requiredCpus - capacity.freeCpus < best->machineType->capacity.vcpus) break;
-    ++counts[best->key];
-    capacity.freeCpus += best->machineType->capacity.vcpus;
-    capacity.freeCpusByZone[best->key.zone] += best->machineType->capacity.vcpus;
+    const int count = instancesInStep((requiredCpus - capacity.freeCpus) / best->machineType->capacity.vcpus);
+    counts[best->key] += count;
+    const double addedCpus = count * best->machineType->capacity.vcpus;
+    capacity.freeCpus += addedCpus;
+    capacity.freeCpusByZone[best->key.zone] += addedCpus;
   }
   std::vector<ScaleOutRequest> requests;
   for (const auto& [key, count] : counts) requests.push_back(ScaleOutRequest{key, count, {}});
--- a/src/fleet/unplaced_demand.cpp
+++ b/src/fleet/unplaced_demand.cpp
@@ -1,6 +1,8 @@
 // Scale-out for unplaced demand: the instances to request for work that fits on no machine, up or pending.
 #include <algorithm>
+#include <iterator>
 #include <limits>
+#include <utility>
 
 #include "fleet/pending_instances.hpp"
 #include "fleet/pool_offers.hpp"
@@ -31,13 +33,12 @@
 }
 
 // Services that end with their worker leases and fit neither on free capacity nor on pending instances.
-std::vector<QueuedWork> uncoveredServices(const FleetSnapshot& snapshot,
-                                          std::vector<PendingInstance> capacity) {
+std::vector<QueuedWork> uncoveredServices(const FleetSnapshot& snapshot, std::vector<PendingGroup> capacity) {
   std::vector<QueuedWork> uncovered;
   if (snapshot.servicesAtRisk.empty()) return uncovered;
   for (const Machine* machine : snapshot.machines)
     if (acceptsWork(*machine) && !isPartitioned(snapshot, *machine))
-      capacity.push_back(PendingInstance{poolOf(*machine), machine->freeCapacity()});
+      capacity.push_back(PendingGroup{poolOf(*machine), machine->freeCapacity()});
   for (QueuedWork& queued : queuedWork(snapshot, snapshot.servicesAtRisk, false))
     if (!packIntoAny(queued, capacity)) uncovered.push_back(std::move(queued));
   return uncovered;
@@ -45,9 +46,9 @@
 
 // The result of the packing so far. It is rolled back for a gang of which not all tasks fit.
 struct PackState {
-  std::vector<PendingInstance> pending;  // the pending instances, then those requested here
-  std::map<PoolKey, int> counts;         // instances requested here
-  std::map<PoolKey, int> poolSizes;      // instances that are booting or up, and those requested here
+  std::vector<PendingGroup> pending;  // the pending instances, then those requested here
+  std::map<PoolKey, int> counts;      // instances requested here
+  std::map<PoolKey, int> poolSizes;   // instances that are booting or up, and those requested here
 };
 
 // Bin-packs the work that no machine has capacity for into instances to request.
@@ -83,16 +84,45 @@
 
  private:
   void pack(QueuedWork& queued) {
-    for (std::size_t i = firstRequested_; i < state_.pending.size() && queued.demand.taskCount > 0; ++i)
-      packInto(queued, state_.pending[i]);
-    while (queued.demand.taskCount > 0) {
+    packIntoAny(queued, state_.pending, firstRequested_);
+    std::vector<PendingGroup> requested;
+    for (; queued.demand.taskCount > 0 && stepCount_ < constants::kMaxScaleOutSteps; ++stepCount_) {
       const PoolOffer* pool = cheapest(queued);
-      if (pool == nullptr) return;
-      ++state_.counts[pool->key];
-      ++state_.poolSizes[pool->key];
-      state_.pending.push_back(PendingInstance{pool->key, pool->machineType->capacity});
-      packInto(queued, state_.pending.back());
+      if (pool == nullptr) break;
+      for (PendingGroup& group : request(queued, *pool)) addTo(requested, std::move(group));
     }
+    std::move(requested.begin(), requested.end(), std::back_inserter(state_.pending));
+  }
+
+  // Requests instances of the pool and packs the work into them. Returns them with their free capacity.
+  std::vector<PendingGroup> request(QueuedWork& queued, const PoolOffer& pool) {
+    const int count = instancesInStep(instancesNeeded(queued, pool));
+    state_.counts[pool.key] += count;
+    state_.poolSizes[pool.key] += count;
+    std::vector<PendingGroup> groups{{pool.key, pool.machineType->capacity, static_cast<std::size_t>(count)}};
+    packIntoAny(queued, groups);
+    return groups;
+  }
+
+  // Adds the group to the one of `groups` with the same pool and the same free capacity, or at the end.
+  static void addTo(std::vector<PendingGroup>& groups, PendingGroup group) {
+    const auto found = std::find_if(groups.begin(), groups.end(), [&](const PendingGroup& other) {
+      return other.pool == group.pool && other.free == group.free;
+    });
+    if (found == groups.end()) {
+      groups.push_back(std::move(group));
+    } else {
+      found->count += group.count;
+    }
+  }
+
+  // The instances of the pool that the queued tasks need, as many as its zone may take.
+  static double instancesNeeded(const QueuedWork& queued, const PoolOffer& pool) {
+    const wire::JobSpec& spec = queued.demand.job->spec;
+    const std::uint32_t taskCount = std::min(
+        queued.demand.taskCount, placement::zoneSpreadAllowance(spec, queued.tasksByZone, pool.key.zone));
+    return static_cast<double>(taskCount) /
+           spec.taskResources.countFittingIn(pool.machineType->capacity, taskCount);
   }
 
   // Requests instances for all tasks of the gang or, if some find no capacity, none for the gang.
@@ -152,7 +182,8 @@
   const FleetSnapshot& snapshot_;
   std::vector<PoolOffer> pools_;
   PackState state_;
-  std::size_t firstRequested_ = 0;
+  std::size_t firstRequested_ = 0;                               // index of the first group requested here
+  int stepCount_ = 0;                                            // comparisons of the pools so far
   std::map<PoolKey, std::vector<const placement::Job*>> gangs_;  // waiting for instances requested here
   bool hasReachableZone_ = false;
 };
--- a/src/wire/types.hpp
+++ b/src/wire/types.hpp
@@ -58,6 +58,7 @@
   double accelerators = 0;
   double memoryGb = 0;
 
+  bool operator==(const Resources&) const = default;
   Resources& operator+=(const Resources& other);
   Resources& operator-=(const Resources& other);
   // Returns whether no resource exceeds the capacity. Rounding errors of repeated sums are tolerated.
