--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -275,6 +275,9 @@
 inline constexpr double kRunTimeEstimateSlackShare = 0.5;
 // Start time SLO of jobs for which the operators configure none.
 inline constexpr milliseconds kDefaultStartSlo = 5min;
+// A job within its team's guarantee that has waited this long stops work of any priority that another team
+// runs beyond its guarantee. By then an instance requested for it is up, unless the cloud has none.
+inline constexpr milliseconds kGuaranteeWaitLimit = 30s;
 // A job that has started no task for this long counts as starved. The largest jobs of a class must start
 // within 240 s.
 inline constexpr milliseconds kStarvationTimeout = 150s;
--- a/src/placement/job_order.cpp
+++ b/src/placement/job_order.cpp
@@ -9,9 +9,20 @@
 
 namespace {
 
-QueuedJob toQueuedJob(const RoundState& state, Job& job) {
-  if (job.spec.priority >= wire::Priority::high) return QueuedJob{&job, JobTier::highPriority, 0};
+// The tier of a job of high priority. One whose tasks an overdue job can preempt goes after that job.
+// Otherwise the preempted job would take the freed capacity in every round.
+JobTier highPriorityTier(const RoundState& state, const Job& job, bool isAnyOverdue) {
+  const bool isBeyondGuarantee =
+      isAnyOverdue && !state.isWithinGuarantee(job.spec.ref.text) && state.quotas.wouldExceedGuarantee(job);
+  return isBeyondGuarantee ? JobTier::highPriorityBeyondGuarantee : JobTier::highPriority;
+}
+
+QueuedJob toQueuedJob(const RoundState& state, Job& job, bool isAnyOverdue) {
+  if (job.spec.priority >= wire::Priority::high)
+    return QueuedJob{&job, highPriorityTier(state, job, isAnyOverdue), 0};
   const SloOutlook outlook = sloOutlook(job, state.input.settings, state.input.wallClockMs);
+  if (state.isOverdueWithinGuarantee(job))
+    return QueuedJob{&job, JobTier::overdueGuaranteed, outlook.latestStartMs};
   if (state.isWithinGuarantee(job.spec.ref.text))
     return QueuedJob{&job, JobTier::guaranteed, outlook.latestStartMs};
   const bool isStarved = (state.shareAccount && state.shareAccount->lacksGuaranteedTask(job)) ||
@@ -36,7 +47,10 @@
 std::vector<QueuedJob> orderJobs(const RoundState& state) {
   std::vector<QueuedJob> order;
   order.reserve(state.input.waitingJobs.size());
-  for (Job* job : state.input.waitingJobs) order.push_back(toQueuedJob(state, *job));
+  const bool isAnyOverdue = std::any_of(
+      state.input.waitingJobs.begin(), state.input.waitingJobs.end(),
+      [&state](const Job* job) { return job->waitingCount > 0 && state.isOverdueWithinGuarantee(*job); });
+  for (Job* job : state.input.waitingJobs) order.push_back(toQueuedJob(state, *job, isAnyOverdue));
   std::stable_sort(order.begin(), order.end(), isServedBefore);
   return order;
 }
--- a/src/placement/job_order.hpp
+++ b/src/placement/job_order.hpp
@@ -10,8 +10,11 @@
 
 // The tiers of waiting jobs, in the order in which they are served.
 enum class JobTier {
-  highPriority,   // jobs of priority high or above; the highest priority goes first
-  guaranteed,     // jobs within their team's guarantee
+  highPriority,       // jobs of priority high or above; the highest priority goes first
+  overdueGuaranteed,  // jobs that have waited long for their team's guarantee
+  // Jobs of priority high or above that an overdue job could preempt. There are none if no job is overdue.
+  highPriorityBeyondGuarantee,
+  guaranteed,     // other jobs within their team's guarantee
   starved,        // jobs of which no task has started for long
   sloReachable,   // jobs that can still meet an SLO; ordered by latest start time
   sloUnreachable  // jobs that can meet no SLO any more; the oldest goes first
--- a/src/placement/preemption_rules.cpp
+++ b/src/placement/preemption_rules.cpp
@@ -24,8 +24,9 @@
   const bool isAttemptGuaranteed = state.isWithinGuarantee(attempt.task.job.text);
   if (isAttemptGuaranteed && !isGuaranteed) return false;
   if (attempt.priority < job.spec.priority) return true;
-  return isGuaranteed && !isAttemptGuaranteed && attempt.priority <= job.spec.priority &&
-         attempt.team != job.spec.team && state.quotas.exceedsGuarantee(attempt.team);
+  return isGuaranteed && !isAttemptGuaranteed && attempt.team != job.spec.team &&
+         (attempt.priority <= job.spec.priority || state.isOverdueWithinGuarantee(job)) &&
+         state.quotas.exceedsGuarantee(attempt.team);
 }
 
 bool canPreemptAnyByRank(const RoundState& state, const Job& job) {
--- a/src/placement/preemption_rules.hpp
+++ b/src/placement/preemption_rules.hpp
@@ -11,8 +11,8 @@
 
 // Whether the attempt can be preempted for the job by rank. It can if its priority is lower than the job's.
 // If the job is within its team's guarantee (`isGuaranteed`), the attempt can also be preempted at the same
-// priority if it belongs to another team that exceeds its own guarantee. An attempt of a job within a
-// guarantee can be preempted only for another such job.
+// priority if it belongs to another team that exceeds its own guarantee, and at any priority once the job is
+// overdue. An attempt of a job within a guarantee can be preempted only for another such job.
 bool canPreemptByRank(const RoundState& state, const Job& job, bool isGuaranteed,
                       const machines::Attempt& attempt);
 
--- a/src/placement/rank_preemptor.cpp
+++ b/src/placement/rank_preemptor.cpp
@@ -34,7 +34,9 @@
   const Machine& machine = *bin.machine;
   // On most machines no attempt has a low enough rank. These checks skip such machines without a search of
   // their attempts.
-  if (bin.lowestPriority > job.spec.priority) return std::nullopt;
+  const bool canPreemptAnyPriority =
+      isGuaranteed && state_.hasTeamOverGuarantee && state_.isOverdueWithinGuarantee(job);
+  if (bin.lowestPriority > job.spec.priority && !canPreemptAnyPriority) return std::nullopt;
   if (bin.lowestPriority == job.spec.priority && !isGuaranteed) return std::nullopt;
   if (!isUsable(bin, job) || !state_.zoneAccepts(job, machine.zone)) return std::nullopt;
   Victims ranked;
--- a/src/placement/round_state.cpp
+++ b/src/placement/round_state.cpp
@@ -82,6 +82,11 @@
          input.now - machine.contact.lastHeartbeatAt <= maxHeartbeatAge;
 }
 
+bool RoundState::isOverdueWithinGuarantee(const Job& job) const {
+  return input.now - job.waitingSince >= constants::kGuaranteeWaitLimit &&
+         isWithinGuarantee(job.spec.ref.text);
+}
+
 bool RoundState::zoneAccepts(const Job& job, const std::string& zone) const {
   if (!dependsOnZones(job)) return true;
   const auto found = zoneCounts.find(job.spec.ref.text);
--- a/src/placement/round_state.hpp
+++ b/src/placement/round_state.hpp
@@ -25,6 +25,8 @@
 
   // Whether the job is within its team's guarantee.
   bool isWithinGuarantee(const std::string& ref) const { return guaranteedJobs.contains(ref); }
+  // Whether the job has waited for its team's guarantee so long that it may stop work of any priority.
+  bool isOverdueWithinGuarantee(const Job& job) const;
   // Whether fair shares allow another task of the job, or its whole gang, to start now.
   bool isWithinShare(const Job& job) const { return !shareAccount || shareAccount->canStart(job); }
   // Whether the transaction has a condition left for another job.
--- a/src/placement/team_quotas.cpp
+++ b/src/placement/team_quotas.cpp
@@ -30,9 +30,16 @@
   return job.spec.taskResources.countFittingIn(unused, taskCount);
 }
 
-bool TeamQuotas::exceedsGuarantee(const std::string& name) const {
+bool TeamQuotas::exceedsGuarantee(const std::string& name) const { return exceedsGuaranteeBy(name, 0); }
+
+bool TeamQuotas::wouldExceedGuarantee(const jobs::Job& job) const {
+  return exceedsGuaranteeBy(job.spec.team, job.spec.taskResources.vcpus);
+}
+
+bool TeamQuotas::exceedsGuaranteeBy(const std::string& name, double addedCpus) const {
   const config::Team* team = settings_.team(name);
-  return team != nullptr && team->cpus > 0 && usageOf(name).cpus > team->cpus + constants::kResourceTolerance;
+  return team != nullptr && team->cpus > 0 &&
+         usageOf(name).cpus + addedCpus > team->cpus + constants::kResourceTolerance;
 }
 
 bool TeamQuotas::hasTeamOverGuarantee() const {
--- a/src/placement/team_quotas.hpp
+++ b/src/placement/team_quotas.hpp
@@ -31,11 +31,16 @@
   std::uint32_t tasksWithinLimit(const jobs::Job& job, std::uint32_t taskCount) const;
   // Whether the team uses more CPUs than its guarantee.
   bool exceedsGuarantee(const std::string& team) const;
+  // Whether the job's team would use more CPUs than its guarantee with one more task of the job. False for a
+  // team without a guarantee.
+  bool wouldExceedGuarantee(const jobs::Job& job) const;
   // Whether any team uses more CPUs than its guarantee.
   bool hasTeamOverGuarantee() const;
 
  private:
   TeamUsage usageOf(const std::string& team) const;
+  // Whether the team's usage exceeds its guarantee once the given CPUs are added.
+  bool exceedsGuaranteeBy(const std::string& team, double addedCpus) const;
 
   const config::Settings& settings_;
   std::unordered_map<std::string, TeamUsage> usage_;
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -218,6 +218,45 @@
   EXPECT_EQ(fixture.plan().assignments.size(), 2U);
 }
 
+// Guards against a job within its team's guarantee that waits as long as another team's services, beyond that
+// team's guarantee, hold the only machines it can use.
+TEST(Plan, OverdueJobWithinItsGuaranteeStopsServicesBeyondAnothers) {
+  PlanFixture fixture;
+  Machine& machine = fixture.addUpMachine("vm-1", 18);
+  // Team u runs 18 CPUs of 16 guaranteed: job-8 is within the guarantee, job-9 is not.
+  const auto addService = [&](const std::string& ref, double cpus, std::uint64_t number) {
+    jobs::Job& service = fixture.addJob(ref, wire::JobKind::service, wire::Priority::prod, 1, 1);
+    service.spec.team = "u";
+    service.spec.taskResources = {cpus, 0, 2};
+    service.setTaskPhase(0, jobs::TaskPhase::placed, fixture.now);
+    Attempt attempt;
+    attempt.task = wire::TaskId{{ref}, 0};
+    attempt.number = number;
+    attempt.team = "u";
+    attempt.phase = machines::AttemptPhase::running;
+    attempt.resources = service.spec.taskResources;
+    attempt.priority = wire::Priority::prod;
+    attempt.isService = true;
+    machine.attempts.push_back(attempt);
+    return &service;
+  };
+  addService("job-8", 16, 1);
+  jobs::Job* beyond = addService("job-9", 2, 2);
+  jobs::Job& waiting = fixture.addJob("job-10", wire::JobKind::array, wire::Priority::standard, 1, 2'000);
+  EXPECT_TRUE(fixture.plan().preemptions.empty());  // an instance may come up in time
+  waiting.waitingSince = fixture.now - constants::kGuaranteeWaitLimit;
+  auto plan = fixture.plan();
+  ASSERT_EQ(plan.preemptions.size(), 1U);
+  EXPECT_EQ(plan.preemptions[0].task.job.text, "job-9");
+  // The freed capacity goes to the waiting job, not back to the service.
+  machine.attempts.pop_back();
+  beyond->setTaskPhase(0, jobs::TaskPhase::waiting, fixture.now);
+  plan = fixture.plan();
+  ASSERT_EQ(plan.assignments.size(), 1U);
+  EXPECT_EQ(plan.assignments[0].job, &waiting);
+  EXPECT_TRUE(plan.preemptions.empty());
+}
+
 // Guards against a leader that counts without end how many tasks without size fit into the capacity that a
 // cancelled task will free (review, case 6).
 TEST(Plan, WaitingTasksWithoutSizeAreCountedUpToTheirNumber) {
