--- a/tests/memory/allocation_meter.cpp
+++ b/tests/memory/allocation_meter.cpp
@@ -11,6 +11,8 @@
 std::size_t heldBytes = 0;
 std::size_t peakHeldBytes = 0;
 
+// An allocator may use malloc and free.
+// NOLINTBEGIN(cppcoreguidelines-no-malloc,cppcoreguidelines-owning-memory)
 void* allocate(std::size_t bytes) {
   void* const memory = std::malloc(std::max<std::size_t>(bytes, 1));
   if (memory == nullptr) throw std::bad_alloc();
@@ -24,6 +26,7 @@
   heldBytes -= ::malloc_usable_size(memory);
   std::free(memory);
 }
+// NOLINTEND(cppcoreguidelines-no-malloc,cppcoreguidelines-owning-memory)
 
 }  // namespace
 
