--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -371,7 +371,7 @@
 // --- Scale-out and consolidation beside the sizing rounds --------------------------------------------------
 // Interval between scale-outs for unplaced demand.
 inline constexpr milliseconds kScaleOutInterval = 1s;
-// The pools are compared again after this share of the instances still needed has been requested.
+// One in this many of the instances that are still needed is requested before the pools are compared again.
 inline constexpr double kScaleOutStepDivisor = 64;
 // Limits the instances that are requested before the pools are compared again.
 inline constexpr double kMaxScaleOutStepInstances = 100'000;
